--- /dev/null
+++ b/src/overlay/internal/readiness.cpp
@@ -0,0 +1,110 @@
+#include "overlay/internal/readiness.h"
+#include <algorithm>
+
+namespace yp {
+
+namespace {
+
+using std::chrono::seconds;
+
+constexpr std::size_t kDomainsAsked = 5;
+// Answers of other regions take one round trip; later ones are not waited for.
+constexpr seconds kAnswerWindow{ 1 };
+constexpr seconds kServiceAloneWait{ 3 };
+constexpr seconds kServiceWithOthersWait{ 10 };
+
+} // namespace
+
+Readiness::Readiness(TimePoint aNow)
+  : since(aNow)
+{
+}
+
+void
+Readiness::OnPause(TimePoint aNow)
+{
+  ++this->nonce;
+  this->since = aNow;
+  this->firstAnswer.reset();
+  this->answerDomains.clear();
+  this->target = 0;
+  this->serviceHead.reset();
+  this->Wait("paused; no exchange since");
+}
+
+void
+Readiness::OnAnswer(const std::string& aHost,
+                    const std::string& aDomain,
+                    const DigestMessage& aDigest,
+                    TimePoint aNow)
+{
+  // At a start a node that is itself not ready knows no better; after a pause any newer knowledge counts.
+  if (aDigest.echo != this->nonce || this->ready || aHost.empty() || (!this->started && !aDigest.ready)) {
+    return;
+  }
+  if (!this->firstAnswer) {
+    this->firstAnswer = aNow;
+  }
+  const bool open = aNow - *this->firstAnswer < kAnswerWindow && this->answerDomains.size() < kDomainsAsked;
+  if (open) {
+    this->answerDomains.insert(aDomain);
+    this->target = std::max({ this->target, aDigest.inForce, aDigest.highest });
+  }
+}
+
+void
+Readiness::OnServiceContact(TicketNumber aHead, TimePoint aStarted)
+{
+  if (aStarted >= this->since && !this->serviceHead) {
+    this->serviceHead = aHead;
+  }
+}
+
+void
+Readiness::Wait(std::string aReason)
+{
+  this->ready = false;
+  this->reason = std::move(aReason);
+}
+
+void
+Readiness::CatchUp(TicketNumber aInForce, TicketNumber aTarget)
+{
+  if (aInForce < aTarget) {
+    this->Wait("catching up from ticket " + std::to_string(aInForce) + " to " + std::to_string(aTarget));
+    return;
+  }
+  this->ready = true;
+  this->started = true;
+  this->reason.clear();
+}
+
+void
+Readiness::Evaluate(TimePoint aNow, TicketNumber aInForce, bool aOthersListed)
+{
+  if (this->ready) {
+    return;
+  }
+  if (this->firstAnswer) {
+    const bool complete = this->started || this->answerDomains.size() >= kDomainsAsked ||
+                          aNow - *this->firstAnswer >= kAnswerWindow;
+    if (!complete) {
+      this->Wait("collecting answers of peers");
+      return;
+    }
+    this->CatchUp(aInForce, this->target);
+    return;
+  }
+  if (!this->serviceHead) {
+    this->Wait(this->started ? "paused; no exchange since" : "neither a ready peer nor the service answers");
+    return;
+  }
+  const seconds wait = aOthersListed ? kServiceWithOthersWait : kServiceAloneWait;
+  if (!this->started && aNow - this->since < wait) {
+    this->Wait("waiting for ready peers");
+    return;
+  }
+  this->CatchUp(aInForce, *this->serviceHead);
+}
+
+} // namespace yp
