--- a/src/placement/iplacement.h
+++ b/src/placement/iplacement.h
@@ -17,6 +17,13 @@
   /// \param aNow time, for the delay before a share grows
   /// \return the placement; equal inputs and history give equal results on every node
   virtual Ref<const Placement> Plan(const TicketState& aState, const MemberView& aView, TimePoint aNow) = 0;
+
+  /// \return the host sets of this node's failure domain within the growth delay, for a peer that starts
+  virtual PlacementHistory ExportHistory(TimePoint aNow) const = 0;
+
+  /// Takes over the history of a ready peer of the same failure domain. Ignored when this
+  /// node holds connections already; may be called before the first Plan and while it waits for the delay.
+  virtual void ImportHistory(const PlacementHistory& aHistory, TimePoint aNow) = 0;
 };
 
 } // namespace yp
--- /dev/null
+++ b/src/steering/tests/steering_tests.cpp
@@ -0,0 +1,1 @@
+#include <catch2/catch.hpp>
