Assign holders in rounds of bids

One host that went moved 2.25 times its own connections at 4,700 hosts, since a service that chose anew took the first choice of a later one, and so on. Now all open positions bid for their best host with room in rounds and hosts accept by score; the load bound is 1.5 instead of 1.1, because the weights even out the load.

--- a/src/placement/internal/domainassignment.cpp
+++ b/src/placement/internal/domainassignment.cpp
@@ -7,8 +7,9 @@
 namespace {
 
 constexpr std::uint32_t kMinHolders = 2;
-// Bound on a host's load relative to the mean.
-constexpr double kLoadBound = 1.1;
+// Bound on a host's load relative to the mean. The weights even the load out within 10 %, so the bound only
+// has to keep hosts from staying without work; a tight one makes chains of moves when a host goes.
+constexpr double kLoadBound = 1.5;
 // With few services a host, the bound must leave room for a whole service.
 constexpr double kUnitSlack = 0.5;
 
@@ -31,7 +32,27 @@
   return static_cast<std::uint32_t>(std::min(wanted, possible));
 }
 
-/// Chooses hosts for one position of one service after the other.
+/// One position of one service.
+struct Unit
+{
+  std::size_t service = 0;
+  std::uint32_t position = 0;
+  std::uint64_t key = 0;
+  double load = 0;
+};
+
+/// The best host with room for a unit, in one round.
+struct Bid
+{
+  std::uint32_t host = 0;
+  std::uint64_t score = 0;
+  std::size_t unit = 0;
+};
+
+/// Assigns units to hosts in rounds. In each round every open unit bids for its best host with room, and
+/// hosts accept by score. A unit that has to move then competes only with units that are open in its round;
+/// when units choose one after the other, it takes the first choice of a later one, which starts a chain of
+/// moves.
 class Assigner
 {
 public:
@@ -46,67 +67,115 @@
 
   DomainAssignment Run()
   {
-    std::uint32_t maxHolders = 0;
+    this->MakeUnits();
+    while (!this->open.empty()) {
+      this->Round();
+    }
+    return std::move(this->result);
+  }
+
+private:
+  static constexpr std::uint32_t kNone = UINT32_MAX;
+
+  void MakeUnits()
+  {
     double total = 0;
-    double units = 0;
-    std::vector<std::uint32_t> counts;
-    for (const ServiceDemand& demand : this->demands) {
+    this->result.owners.resize(this->demands.size());
+    for (std::size_t service = 0; service < this->demands.size(); ++service) {
+      const ServiceDemand& demand = this->demands[service];
       const std::uint32_t count = HolderCount(demand, this->demands.size(), this->loads.size());
-      counts.push_back(count);
-      maxHolders = std::max(maxHolders, count);
+      this->result.owners[service].assign(count, kNone);
       total += demand.load;
-      units += count;
+      for (std::uint32_t position = 0; position < count; ++position) {
+        this->units.push_back({ service, position, Mix(demand.hash, position + 1), demand.load / count });
+        this->open.push_back(this->units.size() - 1);
+      }
     }
     const double mean = total / static_cast<double>(this->loads.size());
-    this->limit = std::max(mean * kLoadBound, mean + kUnitSlack * total / units);
-    DomainAssignment result;
-    result.owners.resize(this->demands.size());
-    for (std::uint32_t position = 0; position < maxHolders; ++position) {
-      for (std::size_t service = 0; service < this->demands.size(); ++service) {
-        if (position < counts[service]) {
-          const double load = this->demands[service].load / counts[service];
-          const std::uint32_t host = this->Choose(service, position, load, result.owners[service]);
-          result.owners[service].push_back(host);
-          this->loads[host] += load;
-        }
+    const double meanUnit = total / static_cast<double>(this->units.size());
+    this->limit = std::max(mean * kLoadBound, mean + kUnitSlack * meanUnit);
+  }
+
+  void Round()
+  {
+    std::vector<Bid> bids;
+    std::vector<std::size_t> homeless;
+    for (const std::size_t unit : this->open) {
+      const Bid bid = this->BestHost(unit);
+      if (bid.host == kNone) {
+        homeless.push_back(unit);
+      } else {
+        bids.push_back(bid);
+      }
+    }
+    std::sort(bids.begin(), bids.end(), [](const Bid& aLeft, const Bid& aRight) {
+      return aLeft.score != aRight.score ? aLeft.score > aRight.score : aLeft.unit < aRight.unit;
+    });
+    this->open.clear();
+    for (const Bid& bid : bids) {
+      const Unit& unit = this->units[bid.unit];
+      if (this->HasRoom(bid.host, unit) && !this->Holds(bid.host, unit)) {
+        this->Accept(bid.host, unit);
+      } else {
+        this->open.push_back(bid.unit);
       }
     }
-    return result;
+    for (const std::size_t unit : homeless) {
+      this->Accept(this->LeastLoaded(this->units[unit]), this->units[unit]);
+    }
   }
 
-private:
-  std::uint32_t Choose(std::size_t aService,
-                       std::uint32_t aPosition,
-                       double aLoad,
-                       const std::vector<std::uint32_t>& aTaken) const
+  bool HasRoom(std::uint32_t aHost, const Unit& aUnit) const
+  {
+    return this->loads[aHost] + aUnit.load <= this->limit;
+  }
+
+  /// \return whether a host has another position of the unit's service
+  bool Holds(std::uint32_t aHost, const Unit& aUnit) const
+  {
+    const std::vector<std::uint32_t>& owners = this->result.owners[aUnit.service];
+    return std::find(owners.begin(), owners.end(), aHost) != owners.end();
+  }
+
+  void Accept(std::uint32_t aHost, const Unit& aUnit)
+  {
+    this->loads[aHost] += aUnit.load;
+    this->result.owners[aUnit.service][aUnit.position] = aHost;
+  }
+
+  Bid BestHost(std::size_t aUnit) const
   {
-    const std::uint64_t key = Mix(this->demands[aService].hash, aPosition + 1);
-    std::int64_t best = -1;
-    std::int64_t leastLoaded = -1;
-    std::uint64_t bestScore = 0;
+    const Unit& unit = this->units[aUnit];
+    Bid best{ kNone, 0, aUnit };
     for (std::uint32_t host = 0; host < this->loads.size(); ++host) {
-      if (std::find(aTaken.begin(), aTaken.end(), host) != aTaken.end()) {
-        continue;
-      }
-      if (leastLoaded < 0 || this->loads[host] < this->loads[static_cast<std::size_t>(leastLoaded)]) {
-        leastLoaded = host;
+      const std::uint64_t score = Mix(unit.key, this->hostHashes[host]);
+      const bool better = best.host == kNone || score > best.score;
+      if (better && this->HasRoom(host, unit) && !this->Holds(host, unit)) {
+        best.host = host;
+        best.score = score;
       }
-      if (this->loads[host] + aLoad > this->limit) {
-        continue;
-      }
-      const std::uint64_t score = Mix(key, this->hostHashes[host]);
-      if (best < 0 || score > bestScore) {
-        best = host;
-        bestScore = score;
+    }
+    return best;
+  }
+
+  std::uint32_t LeastLoaded(const Unit& aUnit) const
+  {
+    std::uint32_t least = kNone;
+    for (std::uint32_t host = 0; host < this->loads.size(); ++host) {
+      if (!this->Holds(host, aUnit) && (least == kNone || this->loads[host] < this->loads[least])) {
+        least = host;
       }
     }
-    return static_cast<std::uint32_t>(best >= 0 ? best : leastLoaded);
+    return least;
   }
 
   const std::vector<ServiceDemand>& demands;
   std::vector<std::uint64_t> hostHashes;
   std::vector<double> loads;
+  std::vector<Unit> units;
+  std::vector<std::size_t> open; ///< units without a host, in the order of the demands
   double limit = 0;
+  DomainAssignment result;
 };
 
 } // namespace
