--- a/src/app/internal/daemonsettings.cpp
+++ b/src/app/internal/daemonsettings.cpp
@@ -14,9 +14,11 @@
   aSettings.host = aFile.RequiredText("node", "host");
   aSettings.failureDomain = aFile.RequiredText("node", "failure_domain");
   aSettings.region = aFile.RequiredText("node", "region");
-  aSettings.caller = { aFile.RequiredAddress("node", "caller_address"), aFile.RequiredPort("node", "caller_port") };
+  aSettings.caller = { aFile.RequiredAddress("node", "caller_address"),
+                       aFile.RequiredPort("node", "caller_port") };
   aSettings.peer = { aFile.RequiredAddress("node", "peer_address"), aFile.RequiredPort("node", "peer_port") };
-  aSettings.admin = { aFile.RequiredAddress("node", "admin_address"), aFile.RequiredPort("node", "admin_port") };
+  aSettings.admin = { aFile.RequiredAddress("node", "admin_address"),
+                      aFile.RequiredPort("node", "admin_port") };
 }
 
 void
--- a/src/app/internal/daemonsettings.h
+++ b/src/app/internal/daemonsettings.h
@@ -22,7 +22,9 @@
   std::size_t requestThreads = 2;
   std::string logLevel;
   std::chrono::milliseconds drainLimit{ 0 }; ///< longest wait for requests in flight at a planned stop
-  std::chrono::milliseconds leaveTime{ 0 };  ///< how long callers may still arrive after the node announced its leaving
+  std::chrono::milliseconds leaveTime{
+    0
+  }; ///< how long callers may still arrive after the node announced its leaving
   QueryOptions query;
 };
 
--- a/src/app/internal/lifecycle.cpp
+++ b/src/app/internal/lifecycle.cpp
@@ -13,42 +13,30 @@
 using msm::front::Row;
 
 struct StartedEvent
-{
-};
+{};
 struct BecameReadyEvent
-{
-};
+{};
 struct LostReadinessEvent
-{
-};
+{};
 struct StopRequestedEvent
-{
-};
+{};
 struct LeaveTimeOverEvent
-{
-};
+{};
 struct DrainedEvent
-{
-};
+{};
 
 struct Starting : msm::front::state<>
-{
-};
+{};
 struct Learning : msm::front::state<>
-{
-};
+{};
 struct Ready : msm::front::state<>
-{
-};
+{};
 struct Leaving : msm::front::state<>
-{
-};
+{};
 struct Draining : msm::front::state<>
-{
-};
+{};
 struct Stopped : msm::front::state<>
-{
-};
+{};
 
 struct AnnounceLeaving
 {
@@ -91,8 +79,7 @@
                          Row<Ready, StopRequestedEvent, Leaving, AnnounceLeaving, none>,
                          Row<Leaving, LeaveTimeOverEvent, Draining, StartDraining, none>,
                          Row<Draining, DrainedEvent, Stopped, StopWork, none>>
-  {
-  };
+  {};
 
   template<class Fsm, class Event>
   void no_transition(const Event&, Fsm&, int)
--- /dev/null
+++ b/src/app/internal/loadexchange.h
@@ -0,0 +1,41 @@
+#ifndef YP_APP_INTERNAL_LOADEXCHANGE_H
+#define YP_APP_INTERNAL_LOADEXCHANGE_H
+
+#include "membership/membershiptypes.h"
+#include "placement/placementtypes.h"
+#include "rpc/ipeercalls.h"
+#include "steering/steeringtypes.h"
+#include <map>
+#include <string>
+
+namespace yp {
+
+/// Exchanges load with some of the nodes that hold connections to the same services. Each message also passes on what
+/// its sender heard, so that a few partners a round are enough. Control thread only.
+class LoadExchange
+{
+public:
+  LoadExchange(IPeerCalls& aCalls, const IClock& aClock, IRandom& aRandom, std::string aSelf);
+
+  /// Sends the known loads to a few random holders of the same services.
+  /// \param aUtilisation this node's own load
+  void Exchange(double aUtilisation, const Placement& aPlacement, const MemberView& aView);
+
+  /// \return load by host, as last heard
+  const std::map<std::string, NodeLoad>& Loads() const { return this->loads; }
+
+private:
+  std::string EncodeLoads() const;
+  void Merge(const std::string& aPayload);
+  void DropOld();
+
+  IPeerCalls& calls;
+  const IClock& clock;
+  IRandom& random;
+  std::string self;
+  std::map<std::string, NodeLoad> loads;
+};
+
+} // namespace yp
+
+#endif
--- a/src/entry/entrytypes.h
+++ b/src/entry/entrytypes.h
@@ -11,8 +11,8 @@
 class ServingState
 {
 public:
-  /// The control thread ticks ten times a second; a longer gap means that the process was paused, and what it knew
-  /// before may be outdated.
+  /// The control thread ticks ten times a second; a longer gap means that the process was paused, and what it
+  /// knew before may be outdated.
   static constexpr std::chrono::milliseconds kMaxTickAge{ 1000 };
 
   explicit ServingState(const IClock& aClock)
--- a/src/entry/iforwarder.h
+++ b/src/entry/iforwarder.h
@@ -19,10 +19,16 @@
   virtual ~IForwarder() = default;
 
   /// Forwards a lookup to a holder of its service.
-  virtual void Lookup(const std::string& aHost, const LookupRequest& aRequest, Post aPost, AnswerHandler aHandler) = 0;
+  virtual void Lookup(const std::string& aHost,
+                      const LookupRequest& aRequest,
+                      Post aPost,
+                      AnswerHandler aHandler) = 0;
 
   /// Forwards a non-idempotent request to the incarnation that its id names.
-  virtual void Execute(const Incarnation& aOwner, const ExecuteRequest& aRequest, Post aPost, AnswerHandler aHandler) = 0;
+  virtual void Execute(const Incarnation& aOwner,
+                       const ExecuteRequest& aRequest,
+                       Post aPost,
+                       AnswerHandler aHandler) = 0;
 
   /// Asks the incarnation that an id names for the outcome of its request.
   virtual void FindOutcome(const Incarnation& aOwner,
--- a/src/entry/internal/answercodec.cpp
+++ b/src/entry/internal/answercodec.cpp
@@ -178,34 +178,37 @@
 Result<RequestAnswer>
 DecodeAnswer(std::string_view aBytes)
 {
-  return DecodeMap<RequestAnswer>(aBytes, "entry.decode_answer", [](const Json& aValue) -> Result<RequestAnswer> {
-    const int outcome = aValue.at("o").get<int>();
-    const int reason = aValue.at("r").get<int>();
-    if (outcome < 0 || outcome > static_cast<int>(RequestOutcome::kUnknown) || reason < 0 || reason > kLastReason) {
-      return Fail(ErrorCode::kBadInput, "entry.decode_answer", "", "outcome or reason out of range");
-    }
-    RequestAnswer answer = MakeAnswer(static_cast<RequestOutcome>(outcome),
-                                      static_cast<RequestReason>(reason),
-                                      aValue.at("d").get<std::string>());
-    answer.coverage.covered = aValue.at("cc").get<std::uint64_t>();
-    answer.coverage.total = aValue.at("ct").get<std::uint64_t>();
-    answer.snapshot.service = aValue.at("s").get<std::string>();
-    answer.snapshot.layout = aValue.at("l").get<LayoutId>();
-    answer.snapshot.indexVersion = aValue.at("v").get<IndexVersion>();
-    answer.snapshot.ticket = aValue.at("t").get<TicketNumber>();
-    for (const Json& hit : aValue.at("h")) {
-      answer.hits.push_back(
-        { hit.at(0).get<std::string>(), hit.at(1).get<double>(), hit.at(2).get<std::string>() });
-    }
-    answer.result = aValue.at("x").get<std::string>();
-    return answer;
-  });
+  return DecodeMap<RequestAnswer>(
+    aBytes, "entry.decode_answer", [](const Json& aValue) -> Result<RequestAnswer> {
+      const int outcome = aValue.at("o").get<int>();
+      const int reason = aValue.at("r").get<int>();
+      if (outcome < 0 || outcome > static_cast<int>(RequestOutcome::kUnknown) || reason < 0 ||
+          reason > kLastReason) {
+        return Fail(ErrorCode::kBadInput, "entry.decode_answer", "", "outcome or reason out of range");
+      }
+      RequestAnswer answer = MakeAnswer(static_cast<RequestOutcome>(outcome),
+                                        static_cast<RequestReason>(reason),
+                                        aValue.at("d").get<std::string>());
+      answer.coverage.covered = aValue.at("cc").get<std::uint64_t>();
+      answer.coverage.total = aValue.at("ct").get<std::uint64_t>();
+      answer.snapshot.service = aValue.at("s").get<std::string>();
+      answer.snapshot.layout = aValue.at("l").get<LayoutId>();
+      answer.snapshot.indexVersion = aValue.at("v").get<IndexVersion>();
+      answer.snapshot.ticket = aValue.at("t").get<TicketNumber>();
+      for (const Json& hit : aValue.at("h")) {
+        answer.hits.push_back(
+          { hit.at(0).get<std::string>(), hit.at(1).get<double>(), hit.at(2).get<std::string>() });
+      }
+      answer.result = aValue.at("x").get<std::string>();
+      return answer;
+    });
 }
 
 std::string
 EncodeIdQuestion(const IdQuestion& aQuestion)
 {
-  return EncodeCbor({ { "i", aQuestion.id }, { "n", aQuestion.count }, { "ms", aQuestion.remaining.count() } });
+  return EncodeCbor(
+    { { "i", aQuestion.id }, { "n", aQuestion.count }, { "ms", aQuestion.remaining.count() } });
 }
 
 Result<IdQuestion>
@@ -215,7 +218,8 @@
     IdQuestion question;
     question.id = aValue.at("i").get<std::string>();
     question.count = aValue.at("n").get<std::uint32_t>();
-    question.remaining = std::chrono::milliseconds(std::min(aValue.at("ms").get<std::uint64_t>(), kMaxRemainingMs));
+    question.remaining =
+      std::chrono::milliseconds(std::min(aValue.at("ms").get<std::uint64_t>(), kMaxRemainingMs));
     return question;
   });
 }
--- a/src/entry/internal/answercodec.h
+++ b/src/entry/internal/answercodec.h
@@ -17,7 +17,6 @@
 RequestAnswer
 MakeAnswer(RequestOutcome aOutcome, RequestReason aReason, std::string aDetail);
 
-
 std::string
 EncodeLookup(const LookupRequest& aRequest, TimePoint aNow);
 
--- a/src/entry/internal/callerapi.cpp
+++ b/src/entry/internal/callerapi.cpp
@@ -27,7 +27,8 @@
 TextField(const Json& aBody, const char* aKey)
 {
   const auto field = aBody.find(aKey);
-  const bool valid = field != aBody.end() && field->is_string() && !field->get_ref<const std::string&>().empty() &&
+  const bool valid = field != aBody.end() && field->is_string() &&
+                     !field->get_ref<const std::string&>().empty() &&
                      field->get_ref<const std::string&>().size() <= kMaxTextBytes;
   if (!valid) {
     return Bad(std::string("field ") + aKey + " has to be a text of 1 to 4096 bytes");
@@ -171,8 +172,8 @@
   }
   std::int64_t milliseconds = 0;
   const auto parsed = std::from_chars(header->data(), header->data() + header->size(), milliseconds);
-  const bool valid = parsed.ec == std::errc() && parsed.ptr == header->data() + header->size() && milliseconds >= 1 &&
-                     milliseconds <= kMaxDeadlineMs;
+  const bool valid = parsed.ec == std::errc() && parsed.ptr == header->data() + header->size() &&
+                     milliseconds >= 1 && milliseconds <= kMaxDeadlineMs;
   if (!valid) {
     return Bad("header Yp-Deadline-Ms has to be a whole number, 1 to 600000");
   }
@@ -214,8 +215,8 @@
   }
   request.query = body["query"].dump();
   ++this->parts.stats.lookups;
-  const auto abandon =
-    this->parts.service.Lookup(std::move(request), IRequestService::Origin::kCaller, this->AnswerTo(aRespond));
+  const auto abandon = this->parts.service.Lookup(
+    std::move(request), IRequestService::Origin::kCaller, this->AnswerTo(aRespond));
   if (abandon && aRequest.exchange) {
     aRequest.exchange->OnClientGone(abandon);
   }
--- a/src/entry/internal/forwardedrequests.cpp
+++ b/src/entry/internal/forwardedrequests.cpp
@@ -26,35 +26,41 @@
 } // namespace
 
 void
-ServeForwarded(IPeerCalls& aCalls, const IClock& aClock, EntryStats& aStats, PostToControl aPostToControl, Pick aPick)
+ServeForwarded(IPeerCalls& aCalls,
+               const IClock& aClock,
+               EntryStats& aStats,
+               PostToControl aPostToControl,
+               Pick aPick)
 {
   const auto origin = IRequestService::Origin::kPeer;
-  aCalls.Serve(kLookupMethod, [=, &aClock, &aStats](const std::string& aPayload, IPeerCalls::Respond aRespond) {
-    Recover(
-      [&]() -> Result<void> {
-        BOOST_LEAF_AUTO(request, DecodeLookup(aPayload, aClock.Now()));
-        ++aStats.servedForOthers;
-        const auto [service, post] = aPick();
-        post([service = service, request, origin, answer = RespondWith(aPostToControl, aRespond)] {
-          service->Lookup(request, origin, answer);
-        });
-        return {};
-      },
-      [&](const Error& aError) { RespondBadRequest(aRespond, aError); });
-  });
-  aCalls.Serve(kExecuteMethod, [=, &aClock, &aStats](const std::string& aPayload, IPeerCalls::Respond aRespond) {
-    Recover(
-      [&]() -> Result<void> {
-        BOOST_LEAF_AUTO(request, DecodeExecute(aPayload, aClock.Now()));
-        ++aStats.servedForOthers;
-        const auto [service, post] = aPick();
-        post([service = service, request, origin, answer = RespondWith(aPostToControl, aRespond)] {
-          service->Execute(request, origin, answer);
-        });
-        return {};
-      },
-      [&](const Error& aError) { RespondBadRequest(aRespond, aError); });
-  });
+  aCalls.Serve(
+    kLookupMethod, [=, &aClock, &aStats](const std::string& aPayload, IPeerCalls::Respond aRespond) {
+      Recover(
+        [&]() -> Result<void> {
+          BOOST_LEAF_AUTO(request, DecodeLookup(aPayload, aClock.Now()));
+          ++aStats.servedForOthers;
+          const auto [service, post] = aPick();
+          post([service = service, request, origin, answer = RespondWith(aPostToControl, aRespond)] {
+            service->Lookup(request, origin, answer);
+          });
+          return {};
+        },
+        [&](const Error& aError) { RespondBadRequest(aRespond, aError); });
+    });
+  aCalls.Serve(
+    kExecuteMethod, [=, &aClock, &aStats](const std::string& aPayload, IPeerCalls::Respond aRespond) {
+      Recover(
+        [&]() -> Result<void> {
+          BOOST_LEAF_AUTO(request, DecodeExecute(aPayload, aClock.Now()));
+          ++aStats.servedForOthers;
+          const auto [service, post] = aPick();
+          post([service = service, request, origin, answer = RespondWith(aPostToControl, aRespond)] {
+            service->Execute(request, origin, answer);
+          });
+          return {};
+        },
+        [&](const Error& aError) { RespondBadRequest(aRespond, aError); });
+    });
   aCalls.Serve(kOutcomeMethod, [=, &aClock](const std::string& aPayload, IPeerCalls::Respond aRespond) {
     Recover(
       [&]() -> Result<void> {
@@ -75,8 +81,9 @@
     post([service = service, question, origin, aPostToControl, aRespond, deadline = aClock.Now()] {
       service->IssueIds("", question.count, deadline, origin, [aPostToControl, aRespond](const auto& aIds) {
         const auto* ids = std::get_if<std::vector<std::string>>(&aIds);
-        aPostToControl(
-          [aRespond, bytes = EncodeIds(ids != nullptr ? *ids : std::vector<std::string>())] { aRespond(bytes); });
+        aPostToControl([aRespond, bytes = EncodeIds(ids != nullptr ? *ids : std::vector<std::string>())] {
+          aRespond(bytes);
+        });
       });
     });
   });
--- a/src/entry/internal/forwarder.cpp
+++ b/src/entry/internal/forwarder.cpp
@@ -17,7 +17,8 @@
   }
   return Recover([&] { return DecodeAnswer(std::get<std::string>(aReply)); },
                  [](const Error& aError) {
-                   return MakeAnswer(RequestOutcome::kUnknown, RequestReason::kConnectionLost, Describe(aError));
+                   return MakeAnswer(
+                     RequestOutcome::kUnknown, RequestReason::kConnectionLost, Describe(aError));
                  });
 }
 
@@ -122,8 +123,9 @@
 {
   const std::optional<Endpoint> peer = this->PeerOf(aOwner);
   if (!peer) {
-    aHandler(MakeAnswer(
-      RequestOutcome::kUnknown, RequestReason::kUnreachableOwner, "the run of the daemon that issued the id is gone"));
+    aHandler(MakeAnswer(RequestOutcome::kUnknown,
+                        RequestReason::kUnreachableOwner,
+                        "the run of the daemon that issued the id is gone"));
     return;
   }
   // The owner may have run an earlier copy of the request, so an undelivered call does not mean "not run".
@@ -138,7 +140,10 @@
 }
 
 void
-Forwarder::Execute(const Incarnation& aOwner, const ExecuteRequest& aRequest, Post aPost, AnswerHandler aHandler)
+Forwarder::Execute(const Incarnation& aOwner,
+                   const ExecuteRequest& aRequest,
+                   Post aPost,
+                   AnswerHandler aHandler)
 {
   this->CallOwner(aOwner,
                   kExecuteMethod,
--- a/src/entry/internal/forwarder.h
+++ b/src/entry/internal/forwarder.h
@@ -21,8 +21,14 @@
             EntryStats& aStats,
             PostToControl aPost);
 
-  void Lookup(const std::string& aHost, const LookupRequest& aRequest, Post aPost, AnswerHandler aHandler) override;
-  void Execute(const Incarnation& aOwner, const ExecuteRequest& aRequest, Post aPost, AnswerHandler aHandler) override;
+  void Lookup(const std::string& aHost,
+              const LookupRequest& aRequest,
+              Post aPost,
+              AnswerHandler aHandler) override;
+  void Execute(const Incarnation& aOwner,
+               const ExecuteRequest& aRequest,
+               Post aPost,
+               AnswerHandler aHandler) override;
   void FindOutcome(const Incarnation& aOwner,
                    const std::string& aId,
                    TimePoint aDeadline,
--- a/src/entry/internal/requestservice.cpp
+++ b/src/entry/internal/requestservice.cpp
@@ -60,7 +60,8 @@
   if (!caller) {
     return RequestReason::kUnknownCaller;
   }
-  const bool allowed = std::find(caller->services.begin(), caller->services.end(), aService) != caller->services.end();
+  const bool allowed =
+    std::find(caller->services.begin(), caller->services.end(), aService) != caller->services.end();
   return allowed && state->FindService(aService) ? RequestReason::kNone : RequestReason::kUnknownService;
 }
 
@@ -143,7 +144,8 @@
 RequestService::RunClaimed(const ExecuteRequest& aRequest, const AnswerHandler& aHandler)
 {
   if (!this->HoldsService(aRequest.service)) {
-    const RequestAnswer answer = NotRun(RequestReason::kWrongNode, "this node holds no connections to the service");
+    const RequestAnswer answer =
+      NotRun(RequestReason::kWrongNode, "this node holds no connections to the service");
     this->parts.requests.Finish(aRequest.requestId, answer);
     aHandler(answer);
     return;
@@ -197,7 +199,10 @@
 }
 
 void
-RequestService::FindOutcome(const std::string& aId, TimePoint aDeadline, Origin aOrigin, AnswerHandler aHandler)
+RequestService::FindOutcome(const std::string& aId,
+                            TimePoint aDeadline,
+                            Origin aOrigin,
+                            AnswerHandler aHandler)
 {
   const ClaimResult known = this->parts.requests.Find(aId);
   if (known.kind == ClaimResult::Kind::kForeign && aOrigin == Origin::kCaller) {
--- a/src/entry/internal/requestservice.h
+++ b/src/entry/internal/requestservice.h
@@ -13,7 +13,10 @@
 
   AbandonFunction Lookup(LookupRequest aRequest, Origin aOrigin, AnswerHandler aHandler) override;
   void Execute(ExecuteRequest aRequest, Origin aOrigin, AnswerHandler aHandler) override;
-  void FindOutcome(const std::string& aId, TimePoint aDeadline, Origin aOrigin, AnswerHandler aHandler) override;
+  void FindOutcome(const std::string& aId,
+                   TimePoint aDeadline,
+                   Origin aOrigin,
+                   AnswerHandler aHandler) override;
   void IssueIds(const std::string& aService,
                 std::uint32_t aCount,
                 TimePoint aDeadline,
--- a/src/entry/irequestservice.h
+++ b/src/entry/irequestservice.h
@@ -33,7 +33,10 @@
   virtual void Execute(ExecuteRequest aRequest, Origin aOrigin, AnswerHandler aHandler) = 0;
 
   /// Tells what is known of a request id.
-  virtual void FindOutcome(const std::string& aId, TimePoint aDeadline, Origin aOrigin, AnswerHandler aHandler) = 0;
+  virtual void FindOutcome(const std::string& aId,
+                           TimePoint aDeadline,
+                           Origin aOrigin,
+                           AnswerHandler aHandler) = 0;
 
   /// Issues request ids of a holder of the service.
   virtual void IssueIds(const std::string& aService,
--- a/src/fleetstatus/ifleetstatus.h
+++ b/src/fleetstatus/ifleetstatus.h
@@ -36,9 +36,8 @@
 
   virtual ~IFleetStatus() = default;
 
-  /// Collects a report over all members. Questions during a collection share it; a report that is less than a second
-  /// old is given again.
-  /// \param aHandler gets a row for every member, sorted by host
+  /// Collects a report over all members. Questions during a collection share it; a report that is less than a
+  /// second old is given again. \param aHandler gets a row for every member, sorted by host
   virtual void Collect(Handler aHandler) = 0;
 };
 
--- a/src/fleetstatus/internal/fleetcollector.cpp
+++ b/src/fleetstatus/internal/fleetcollector.cpp
@@ -126,9 +126,10 @@
   ++this->running->pending;
   const TimePoint asked = this->parts.clock.Now();
   const auto wait = aQuestion.members.empty() ? kGroupWait : kDelegateWait;
-  this->parts.calls.Call(aDelegate.peer, kGroupMethod, Encode(aQuestion), asked + wait, [this, asked](auto aReply) {
-    this->OnReports(aReply, asked);
-  });
+  this->parts.calls.Call(
+    aDelegate.peer, kGroupMethod, Encode(aQuestion), asked + wait, [this, asked](auto aReply) {
+      this->OnReports(aReply, asked);
+    });
 }
 
 void
--- a/src/fleetstatus/internal/fleetcollector.h
+++ b/src/fleetstatus/internal/fleetcollector.h
@@ -7,8 +7,9 @@
 
 namespace yp {
 
-/// Asks one delegate a group, each of which asks its group, so that neither step has more than about sqrt(N) calls.
-/// Members that no delegate heard are asked once more directly, since their delegate may have been lost.
+/// Asks one delegate a group, each of which asks its group, so that neither step has more than about sqrt(N)
+/// calls. Members that no delegate heard are asked once more directly, since their delegate may have been
+/// lost.
 class FleetCollector final : public IFleetStatus
 {
 public:
--- a/src/fleetstatus/internal/statusmessages.cpp
+++ b/src/fleetstatus/internal/statusmessages.cpp
@@ -34,8 +34,12 @@
   Json reports = Json::array();
   for (const AgedReport& aged : aReports) {
     const NodeReport& report = aged.report;
-    reports.push_back(
-      { report.host, report.incarnation, report.state, report.inForce, report.highest, Milliseconds(aged.age) });
+    reports.push_back({ report.host,
+                        report.incarnation,
+                        report.state,
+                        report.inForce,
+                        report.highest,
+                        Milliseconds(aged.age) });
   }
   return EncodeCbor({ { "r", reports } });
 }
--- a/src/fleetstatus/tests/fleetstatus_tests.cpp
+++ b/src/fleetstatus/tests/fleetstatus_tests.cpp
@@ -72,7 +72,8 @@
   fleet.collectors[123]->Collect([&rows](const std::vector<FleetRow>& aRows) { rows = aRows; });
   fleet.timers.RunFor(std::chrono::seconds(1));
   REQUIRE(rows.size() == 400);
-  CHECK(std::all_of(rows.begin(), rows.end(), [](const FleetRow& aRow) { return aRow.heard && aRow.report.inForce == 17; }));
+  CHECK(std::all_of(
+    rows.begin(), rows.end(), [](const FleetRow& aRow) { return aRow.heard && aRow.report.inForce == 17; }));
   for (std::size_t i = 0; i < 400; ++i) {
     REQUIRE(fleet.CallsSentBy(i) <= 21);
   }
@@ -109,11 +110,12 @@
 {
   const std::string whole = Encode(GroupQuestion{ { { "h", PeerOf(1) } }, std::chrono::seconds(1) });
   for (std::size_t size = 0; size < whole.size(); ++size) {
-    const bool refused = Recover([&]() -> Result<bool> {
-      BOOST_LEAF_CHECK(DecodeGroupQuestion(whole.substr(0, size)));
-      return false;
-    },
-                                 [](const Error&) { return true; });
+    const bool refused = Recover(
+      [&]() -> Result<bool> {
+        BOOST_LEAF_CHECK(DecodeGroupQuestion(whole.substr(0, size)));
+        return false;
+      },
+      [](const Error&) { return true; });
     CHECK(refused);
   }
 }
