Add the query engine and the request table

Cause: the entry and the daemon need a working IQueryEngine and IRequestTable to build on.

LeafReply gains the echoed layout and shard, so that the merge can check them; both are optional for a transport that checks them itself.

Tests run on a fake transport in virtual time: crossed, late, duplicate, wrong-version and missing replies, stragglers, all slow, all shed, lost replicas, draining, repartition, pauses, abandoned requests.

Conclusion: interfaces are usable from here on; policies are not yet measured against each other.

--- a/src/query/ileaftransport.h
+++ b/src/query/ileaftransport.h
@@ -48,7 +48,9 @@
   std::uint64_t id = 0;
   AttemptStatus status = AttemptStatus::kNotRun;
   NotRunReason reason = NotRunReason::kNone;
-  bool fromLeaf = false; ///< the leaf itself replied, so that the fields below are known
+  bool fromLeaf = false;          ///< the leaf itself replied, so that the fields below are known
+  std::optional<LayoutId> layout; ///< echoed by the leaf; checked at the merge when present
+  std::optional<ShardId> shard;   ///< echoed by the leaf; checked at the merge when present
   IndexVersion indexVersion = 0;
   std::vector<IndexVersion> versions; ///< servable now
   std::uint32_t busySlots = 0;
--- /dev/null
+++ b/src/query/internal/lookuprunner.h
@@ -0,0 +1,155 @@
+#ifndef YP_QUERY_INTERNAL_LOOKUPRUNNER_H
+#define YP_QUERY_INTERNAL_LOOKUPRUNNER_H
+
+#include "query/internal/attemptsender.h"
+#include "query/internal/partmerger.h"
+#include "query/internal/replicachooser.h"
+
+namespace yp {
+
+/// Runs lookups: snapshot, attempts, hedges, retries, replans and the decision.
+class LookupRunner
+{
+public:
+  using Finished = std::function<void(std::uint64_t, RequestAnswer)>;
+  using PlanSource = std::function<Ref<ServicePlan>(const Ref<const ServiceSpec>&)>;
+
+  /// \param aFinished called once a lookup with its answer; never from within Start
+  LookupRunner(QueryNode& aNode,
+               AttemptSender& aSender,
+               const QueryEngineParts& aParts,
+               PlanSource aPlans,
+               Finished aFinished);
+
+  ~LookupRunner();
+  LookupRunner(const LookupRunner&) = delete;
+  LookupRunner& operator=(const LookupRunner&) = delete;
+
+  /// Starts a lookup that has been admitted.
+  void Start(std::uint64_t aHandle,
+             LookupRequest aRequest,
+             Ref<const TicketState> aState,
+             Ref<const CallerSpec> aCaller);
+
+  /// Cancels what is outstanding and forgets the lookup.
+  void Abandon(std::uint64_t aHandle);
+
+private:
+  enum class PartState
+  {
+    kIdle,
+    kSent,
+    kWaiting, ///< for room, or for a retry
+    kMerged,
+    kFailed
+  };
+
+  enum class Purpose
+  {
+    kFirst,
+    kFirstRepeated, ///< first attempt of a plan that replaces another, or after waiting
+    kRetry,
+    kFreeRetry,
+    kHedge
+  };
+
+  struct Part
+  {
+    PartState state = PartState::kIdle;
+    std::uint64_t tried = 0;
+    bool hedged = false;
+    bool paid = false; ///< the retry that it waits for needs a token of the budget
+    bool freeRetry = false;
+    bool queued = false; ///< among the waiters of its shard
+    std::uint32_t rounds = 0;
+    TimePoint sentAt;
+    TimePoint retryAt;
+    TimePoint waitUntil;
+    std::vector<std::uint64_t> attempts; ///< outstanding
+  };
+
+  struct Lookup
+  {
+    std::uint64_t handle = 0;
+    LookupRequest request;
+    std::string body;
+    Ref<const TicketState> state;
+    Ref<const CallerSpec> caller;
+    Ref<ServicePlan> plan;
+    LayoutPlan* layout = nullptr; ///< points into plan
+    IndexVersion version = 0;
+    bool learning = false;
+    std::size_t learnNext = 0;
+    std::uint32_t learnLeft = 0;
+    std::uint32_t generation = 0;
+    std::uint32_t replans = 0;
+    PartMerger merger;
+    std::vector<Part> parts;
+    std::size_t failedCount = 0;
+    RequestReason failure = RequestReason::kNoReplica; ///< of the last failed part
+    bool mayHaveRun = false;
+    bool hedgeTimeSeen = false;
+    TimePoint start;
+    TimePoint planned;
+    TimePoint decideBy; ///< a little before the deadline, so that the answer is in time
+    Duration hedgeDelay{ 0 };
+    TimerId timer = 0;
+    TimePoint timerAt;
+  };
+
+  void Plan(Lookup& aLookup);
+  void Pin(Lookup& aLookup, LayoutPlan& aLayout, IndexVersion aVersion);
+  void SendFirstAttempts(Lookup& aLookup);
+  void SendProbes(Lookup& aLookup);
+  void BeginLearning(Lookup& aLookup);
+  bool SendLearning(Lookup& aLookup);
+  void OnLearnt(Lookup& aLookup, const AttemptTarget& aTarget, std::size_t aPart, const LeafReply& aReply);
+
+  /// Sends a part, or lets it wait, or marks it failed.
+  void TrySend(Lookup& aLookup, std::size_t aPart, Purpose aPurpose);
+  void SendAttempt(Lookup& aLookup, std::size_t aPart, std::size_t aReplica, Purpose aPurpose);
+  void CountAttempt(Purpose aPurpose);
+  void Wait(Lookup& aLookup, std::size_t aPart, TimePoint aRetryAt);
+  void FailPart(Lookup& aLookup, std::size_t aPart, RequestReason aReason);
+  void Hedge(Lookup& aLookup, TimePoint aNow);
+  void RetryWaiting(Lookup& aLookup, std::size_t aPart, TimePoint aNow);
+  bool ReplanIfBetter(Lookup& aLookup, std::size_t aPart);
+
+  void OnReply(std::uint64_t aHandle,
+               std::uint32_t aGeneration,
+               std::size_t aPart,
+               const AttemptTarget& aTarget,
+               std::uint64_t aAttempt,
+               const LeafReply& aReply);
+  void OnPart(Lookup& aLookup, std::size_t aPart, const AttemptTarget& aTarget, const LeafReply& aReply);
+  void OnFailure(Lookup& aLookup, std::size_t aPart, const LeafReply& aReply);
+  bool OnRoom(const Waiter& aWaiter);
+  bool Settled(const Lookup& aLookup) const;
+
+  void Tick(std::uint64_t aHandle);
+  void Arm(Lookup& aLookup);
+  TimePoint NextWake(const Lookup& aLookup, TimePoint aNow) const;
+
+  /// Ends the lookup when nothing more can come, or the caller's policy says so.
+  /// \return whether it ended
+  bool DecideIfSettled(Lookup& aLookup);
+  bool DecideEarly(Lookup& aLookup, TimePoint aNow);
+  void Decide(Lookup& aLookup, RequestReason aReason);
+  void Finish(Lookup& aLookup, RequestAnswer aAnswer);
+  void CancelAll(Lookup& aLookup);
+  Lookup* Find(std::uint64_t aHandle);
+
+  QueryNode& node;
+  AttemptSender& sender;
+  ITimers& timers;
+  const IClock& clock;
+  IRandom& random;
+  std::function<Ref<const TicketState>()> tickets;
+  PlanSource plans;
+  Finished finished;
+  std::unordered_map<std::uint64_t, std::unique_ptr<Lookup>> lookups;
+};
+
+} // namespace yp
+
+#endif
--- /dev/null
+++ b/src/query/internal/partmerger.h
@@ -0,0 +1,56 @@
+#ifndef YP_QUERY_INTERNAL_PARTMERGER_H
+#define YP_QUERY_INTERNAL_PARTMERGER_H
+
+#include "query/querytypes.h"
+#include <optional>
+
+namespace yp {
+
+/// What a reply says it is a part of.
+struct PartIdentity
+{
+  LayoutId layout = 0;
+  ShardId shard = 0;
+  IndexVersion version = 0;
+};
+
+/// Parses the body of a search reply.
+/// \return none when it is not of the form in section 6
+std::optional<std::vector<Hit>>
+ParseHits(const std::string& aBody);
+
+/// Collects the parts of one snapshot. A shard merges once.
+class PartMerger
+{
+public:
+  PartMerger() = default;
+
+  /// \param aShards id and weight of the shards of the pinned layout
+  PartMerger(LayoutId aLayout, IndexVersion aVersion, const std::vector<ShardSpec>& aShards);
+
+  /// Merges a part.
+  /// \param aIndex position of the shard in the layout
+  /// \return whether it counted; a part that is a duplicate or of another snapshot does not
+  bool Merge(std::size_t aIndex, const PartIdentity& aPart, std::vector<Hit> aHits);
+
+  bool Merged(std::size_t aIndex) const { return this->merged[aIndex]; }
+  std::size_t MergedCount() const { return this->mergedCount; }
+  bool All() const { return this->mergedCount == this->shards.size(); }
+  Coverage Covered() const { return this->coverage; }
+
+  /// \return the best hits, best first; equal scores by document
+  std::vector<Hit> Take(std::uint32_t aLimit);
+
+private:
+  LayoutId layout = 0;
+  IndexVersion version = 0;
+  std::vector<ShardSpec> shards;
+  std::vector<bool> merged;
+  std::size_t mergedCount = 0;
+  Coverage coverage;
+  std::vector<Hit> hits;
+};
+
+} // namespace yp
+
+#endif
--- /dev/null
+++ b/src/query/query.h
@@ -0,0 +1,95 @@
+#ifndef YP_QUERY_QUERY_H
+#define YP_QUERY_QUERY_H
+
+/// \file
+/// Public header of the library yp_query: decisions of the request path, over ILeafTransport.
+
+#include "query/ileaftransport.h"
+#include "query/iqueryengine.h"
+#include "query/irequesttable.h"
+#include "query/querystats.h"
+#include <functional>
+#include <memory>
+#include <set>
+
+namespace yp {
+
+enum class HedgePolicy
+{
+  kNone,
+  kFixed,
+  kAdaptive
+};
+
+enum class ReplicaPolicy
+{
+  kRandom,
+  kRoundRobin,
+  kLoadAware
+};
+
+/// Settings of the request path.
+struct QueryOptions
+{
+  std::string failureDomain; ///< of this node
+  HedgePolicy hedge = HedgePolicy::kAdaptive;
+  ReplicaPolicy replica = ReplicaPolicy::kLoadAware;
+  bool budget = true; ///< false: hedges and retries are not limited, as a baseline
+
+  Duration fixedHedgeDelay = std::chrono::milliseconds(50); ///< also used before there are samples
+  double hedgeQuantile = 0.97;                              ///< attempts slower than this quantile are hedged
+  Duration minHedgeDelay = std::chrono::milliseconds(1);
+
+  std::uint32_t maxInFlight = 2000;   ///< requests of this node; above it requests are shed
+  double softLimitFraction = 0.8;     ///< above this part of maxInFlight only callers under their share pass
+  std::uint32_t limitSlotsFactor = 4; ///< largest concurrency at a leaf, in multiples of its slots
+  Duration queueWait = std::chrono::milliseconds(50); ///< policy kLatency; kCoverage waits to the deadline
+  double earlyFraction = 0.9;                         ///< coverage at which kLatency may end early
+  double earlyDelayFactor = 3.0;                      ///< early end after this many hedge delays
+  std::uint32_t maxReplans = 2;
+  Duration ramp = std::chrono::seconds(10); ///< time over which a cold leaf gets its full share
+};
+
+/// State that the request threads of a node share: leaf health, budget, limits and counters. Thread-safe.
+class IQueryNode
+{
+public:
+  virtual ~IQueryNode() = default;
+
+  /// Names the backend servers that are leaving; their leafs get no new work from now on.
+  virtual void SetLeavingServers(const std::set<std::string>& aServers) = 0;
+
+  virtual const QueryStats& Stats() const = 0;
+};
+
+/// \return the shared state; must outlive the engines made with it
+std::unique_ptr<IQueryNode>
+MakeQueryNode(QueryOptions aOptions);
+
+/// What one engine works with. The references must outlive the engine.
+struct QueryEngineParts
+{
+  IQueryNode& node;
+  ILeafTransport& transport;
+  ITimers& timers;
+  const IClock& clock;
+  IRandom& random; ///< not shared with other threads
+  IRequestTable& requests;
+  std::function<Ref<const TicketState>()> tickets; ///< state in force; null before there is one
+};
+
+/// \return the engine of one request thread. It records the outcomes of Execute in the request table.
+std::unique_ptr<IQueryEngine>
+MakeQueryEngine(const QueryEngineParts& aParts);
+
+/// \return an empty request table
+/// \param aRandom used under a lock of the table; must not be shared with others
+std::unique_ptr<IRequestTable>
+MakeRequestTable(const IClock& aClock,
+                 IRandom& aRandom,
+                 const Incarnation& aIncarnation,
+                 std::size_t aCapacity = 1000000);
+
+} // namespace yp
+
+#endif
