Choose two positions a host where replicas allow it

At 200 hosts with 40 services some hosts got no position, so that the others carried more. The number of holders now aims at two positions a host while each holder keeps two connections to every shard, which a hedge needs.

--- a/src/placement/bench/placement_bench.cpp
+++ b/src/placement/bench/placement_bench.cpp
@@ -7,6 +7,7 @@
 #include <fstream>
 #include <functional>
 #include <iostream>
+#include <malloc.h>
 #include <map>
 #include <nlohmann/json.hpp>
 #include <thread>
@@ -191,6 +192,8 @@
                                        return aHost.host != neighbour->host || neighbour == &aHosts[0];
                                      }),
                               aHosts[0].host);
+  // Memory that an earlier measurement freed but did not give back would hide what the planner takes.
+  malloc_trim(0);
   const double before = ResidentMb();
   const auto planner = MakePlacementPlanner();
   auto start = std::chrono::steady_clock::now();
--- a/src/placement/internal/domainassignment.cpp
+++ b/src/placement/internal/domainassignment.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-constexpr std::uint32_t kMinHolders = 2;
+constexpr std::size_t kMinHolders = 2;
 // Bound on a host's load relative to the mean. The weights even the load out within 10 %, so the bound only
 // has to keep hosts from staying without work; a tight one makes chains of moves when a host goes.
 constexpr double kLoadBound = 1.5;
@@ -23,13 +23,17 @@
   return value ^ (value >> 31);
 }
 
+/// Every host gets a position if the services have enough; two positions if that leaves each holder two
+/// connections to every shard. With one position a host, some hosts stay without work; with one connection to
+/// a shard, a holder cannot send a hedge to another replica.
 std::uint32_t
 HolderCount(const ServiceDemand& aDemand, std::size_t aServices, std::size_t aHosts)
 {
-  const std::size_t toUseAllHosts = (aHosts + aServices - 1) / aServices;
-  const std::size_t wanted = std::max<std::size_t>(kMinHolders, toUseAllHosts);
-  const std::size_t possible = std::min<std::size_t>(std::max(1U, aDemand.maxHolders), aHosts);
-  return static_cast<std::uint32_t>(std::min(wanted, possible));
+  const std::size_t most = std::max<std::size_t>(1, aDemand.maxHolders);
+  const std::size_t onePerHost = (aHosts + aServices - 1) / aServices;
+  const std::size_t twoPerHost = (2 * aHosts + aServices - 1) / aServices;
+  const std::size_t wanted = std::max({ kMinHolders, onePerHost, std::min(twoPerHost, most / 2) });
+  return static_cast<std::uint32_t>(std::min({ wanted, most, aHosts }));
 }
 
 /// One position of one service.
