--- a/src/app/internal/nodecontext.cpp
+++ b/src/app/internal/nodecontext.cpp
@@ -11,7 +11,7 @@
   , members(this->blackboard.Entry<MemberView>())
   , placement(this->blackboard.Entry<Placement>())
   , serving(this->clock)
-  , queryNode(MakeQueryNode(this->settings.query, this->clock))
+  , queryNode(MakeQueryNode(this->settings.query))
   , requests(MakeRequestTable(this->clock, this->tableRandom, this->incarnation))
   , steering(MakeSteering())
 {
