--- a/src/app/internal/adminapi.cpp
+++ b/src/app/internal/adminapi.cpp
@@ -10,7 +10,8 @@
 UtcTime(WallTime aTime)
 {
   const std::time_t seconds = std::chrono::system_clock::to_time_t(aTime);
-  const auto fraction = std::chrono::duration_cast<std::chrono::milliseconds>(aTime.time_since_epoch()).count() % 1000;
+  const auto fraction =
+    std::chrono::duration_cast<std::chrono::milliseconds>(aTime.time_since_epoch()).count() % 1000;
   std::tm parts{};
   gmtime_r(&seconds, &parts);
   char text[40];
@@ -41,15 +42,18 @@
 }
 
 Json
-ExplainNodes(const ISteering& aSteering, const std::string& aCaller, const ServicePlacement* aPlacement, IRandom& aRandom)
+ExplainNodes(const ISteering& aSteering,
+             const std::string& aCaller,
+             const ServicePlacement* aPlacement,
+             IRandom& aRandom)
 {
   Json nodes = Json::array();
   const AddressAnswer answer =
     Recover([&] { return aSteering.Answer(aCaller, aRandom); }, [](const Error&) { return AddressAnswer{}; });
   for (const CallerAddress& address : answer.addresses) {
-    const bool holds = aPlacement != nullptr && std::binary_search(aPlacement->holders.begin(),
-                                                                   aPlacement->holders.end(),
-                                                                   address.host);
+    const bool holds =
+      aPlacement != nullptr &&
+      std::binary_search(aPlacement->holders.begin(), aPlacement->holders.end(), address.host);
     nodes.push_back({ { "host", address.host },
                       { "failure_domain", address.failureDomain },
                       { "address", ToString(address.endpoint) },
@@ -72,12 +76,13 @@
       const auto found = aPlacement->ownConnections.find(leaf.leaf);
       own = found == aPlacement->ownConnections.end() ? 0 : found->second;
     }
-    replicas.push_back({ { "leaf", leaf.leaf },
-                         { "server", leaf.server },
-                         { "failure_domain", leaf.failureDomain },
-                         { "layout", leaf.layout },
-                         { "own_connections", own },
-                         { "reason", own > 0 ? "this node may send requests to it" : "no connections from this node" } });
+    replicas.push_back(
+      { { "leaf", leaf.leaf },
+        { "server", leaf.server },
+        { "failure_domain", leaf.failureDomain },
+        { "layout", leaf.layout },
+        { "own_connections", own },
+        { "reason", own > 0 ? "this node may send requests to it" : "no connections from this node" } });
   }
   return replicas;
 }
@@ -101,10 +106,11 @@
 {
   HttpServerSettings settings;
   settings.listen = this->node.settings.admin;
-  BOOST_LEAF_ASSIGN(this->server,
-                    StartHttpServer(this->context, settings, [this](HttpRequest aRequest, HttpRespond aRespond) {
-                      this->Handle(aRequest, aRespond);
-                    }));
+  BOOST_LEAF_ASSIGN(
+    this->server,
+    StartHttpServer(this->context, settings, [this](HttpRequest aRequest, HttpRespond aRespond) {
+      this->Handle(aRequest, aRespond);
+    }));
   return {};
 }
 
--- a/src/app/internal/controlplane.cpp
+++ b/src/app/internal/controlplane.cpp
@@ -58,11 +58,12 @@
                                     *this->memberTable,
                                     {} });
   this->calls = MakePeerCalls(*this->peers, this->timers, this->node.clock);
-  this->forwarder = MakeForwarder(*this->calls,
-                                  this->node.members,
-                                  this->node.clock,
-                                  this->node.entryStats,
-                                  [this](std::function<void()> aFunction) { this->Post(std::move(aFunction)); });
+  this->forwarder =
+    MakeForwarder(*this->calls,
+                  this->node.members,
+                  this->node.clock,
+                  this->node.entryStats,
+                  [this](std::function<void()> aFunction) { this->Post(std::move(aFunction)); });
   this->fleet = MakeFleetStatus(
     { *this->calls, this->node.clock, this->node.members, [this] { return this->OwnReport(); } });
   this->planner = MakePlacementPlanner();
--- a/src/app/internal/controlplane.h
+++ b/src/app/internal/controlplane.h
@@ -32,7 +32,8 @@
   /// Opens the peer port and builds the engines. Before Start.
   Result<void> Open();
 
-  /// What the controllers act on besides the blackboard. Before Start; the pools must outlive the control thread.
+  /// What the controllers act on besides the blackboard. Before Start; the pools must outlive the control
+  /// thread.
   void Attach(ILeafPools& aPools, std::function<double()> aUtilisation, ILifecycleActions& aActions);
 
   /// Starts the thread.
--- a/src/app/internal/daemon.cpp
+++ b/src/app/internal/daemon.cpp
@@ -33,7 +33,8 @@
 
 Daemon::~Daemon()
 {
-  // The control thread uses the pools and the request threads, and these use the forwarder, so all threads end first.
+  // The control thread uses the pools and the request threads, and these use the forwarder, so all threads
+  // end first.
   if (this->admin) {
     this->admin->Stop();
   }
@@ -59,7 +60,8 @@
   for (std::size_t i = 0; i < this->threads.size(); ++i) {
     BOOST_LEAF_CHECK(this->threads[i]->Open(this->pools->Transport(i), this->control.Forwarder()));
   }
-  this->control.Attach(*this->pools, [this] { return this->Utilisation(); }, *this);
+  this->control.Attach(
+    *this->pools, [this] { return this->Utilisation(); }, *this);
   ServeForwarded(
     this->control.Calls(),
     this->node.clock,
--- a/src/app/internal/daemon.h
+++ b/src/app/internal/daemon.h
@@ -38,11 +38,11 @@
   std::unique_ptr<ILeafPools> pools;
   std::unique_ptr<MetricsCollector> metrics;
   std::unique_ptr<AdminApi> admin;
-  std::size_t nextThread = 0;   ///< control thread: which thread serves the next forwarded request
-  std::size_t idleThreads = 0;  ///< control thread: request threads without connected callers
-  TimePoint drainEnd;           ///< control thread
-  TimePoint lastUsageSample;    ///< control thread
-  Duration lastUsage{ 0 };      ///< control thread: processor time at the last sample
+  std::size_t nextThread = 0;  ///< control thread: which thread serves the next forwarded request
+  std::size_t idleThreads = 0; ///< control thread: request threads without connected callers
+  TimePoint drainEnd;          ///< control thread
+  TimePoint lastUsageSample;   ///< control thread
+  Duration lastUsage{ 0 };     ///< control thread: processor time at the last sample
 };
 
 } // namespace yp
--- a/src/app/internal/loadexchange.cpp
+++ b/src/app/internal/loadexchange.cpp
@@ -41,7 +41,8 @@
   }
   partners.erase(this->self);
   for (std::size_t i = 0; i < kPartners && !partners.empty(); ++i) {
-    const auto partner = std::next(partners.begin(), static_cast<std::ptrdiff_t>(this->random.Below(partners.size())));
+    const auto partner =
+      std::next(partners.begin(), static_cast<std::ptrdiff_t>(this->random.Below(partners.size())));
     const MemberStatus* member = aView.Find(*partner);
     partners.erase(partner);
     if (member == nullptr || member->unreachable) {
--- a/src/app/internal/loadexchange.h
+++ b/src/app/internal/loadexchange.h
@@ -10,8 +10,8 @@
 
 namespace yp {
 
-/// Exchanges load with some of the nodes that hold connections to the same services. Each message also passes on what
-/// its sender heard, so that a few partners a round are enough. Control thread only.
+/// Exchanges load with some of the nodes that hold connections to the same services. Each message also passes
+/// on what its sender heard, so that a few partners a round are enough. Control thread only.
 class LoadExchange
 {
 public:
--- a/src/app/internal/metricscollector.cpp
+++ b/src/app/internal/metricscollector.cpp
@@ -12,7 +12,10 @@
 constexpr double kLatencyBucketBaseSeconds = 1e-4;
 
 prometheus::MetricFamily&
-AddFamily(Families& aFamilies, const std::string& aName, const std::string& aHelp, prometheus::MetricType aType)
+AddFamily(Families& aFamilies,
+          const std::string& aName,
+          const std::string& aHelp,
+          prometheus::MetricType aType)
 {
   prometheus::MetricFamily family;
   family.name = "yuccaspool_" + aName;
@@ -134,13 +137,16 @@
   AddCounter(aFamilies, "peer_frames_out_total", "frames to peers", aCounters.framesOut);
   AddCounter(aFamilies, "peer_bytes_in_total", "bytes of frames from peers", aCounters.bytesIn);
   AddCounter(aFamilies, "peer_bytes_out_total", "bytes of frames to peers", aCounters.bytesOut);
-  AddCounter(aFamilies, "peer_malformed_frames_total", "frames that closed their link", aCounters.malformedFrames);
+  AddCounter(
+    aFamilies, "peer_malformed_frames_total", "frames that closed their link", aCounters.malformedFrames);
   AddGauge(aFamilies, "peer_links", "established links", static_cast<double>(aCounters.links));
 }
 
 } // namespace
 
-MetricsCollector::MetricsCollector(const NodeContext& aNode, const ControlPlane& aControl, const ILeafPools& aPools)
+MetricsCollector::MetricsCollector(const NodeContext& aNode,
+                                   const ControlPlane& aControl,
+                                   const ILeafPools& aPools)
   : node(aNode)
   , control(aControl)
   , pools(aPools)
@@ -151,7 +157,8 @@
 MetricsCollector::Text() const
 {
   Families families;
-  AddGauge(families, "ticket_in_force", "ticket in force", static_cast<double>(this->control.Store().InForce()));
+  AddGauge(
+    families, "ticket_in_force", "ticket in force", static_cast<double>(this->control.Store().InForce()));
   AddGauge(families, "serving", "1 while callers are served", this->node.serving.Serving() ? 1 : 0);
   AddCounter(families, "broken_invariants_total", "invariants found broken", BrokenInvariants());
   AddEntry(families, this->node.entryStats);
--- a/src/app/internal/requestthread.cpp
+++ b/src/app/internal/requestthread.cpp
@@ -26,13 +26,10 @@
 RequestThread::Open(ILeafTransport& aTransport, IForwarder& aForwarder)
 {
   NodeContext& shared = this->node;
-  this->engine = MakeQueryEngine({ *shared.queryNode,
-                                   aTransport,
-                                   this->timers,
-                                   shared.clock,
-                                   this->random,
-                                   *shared.requests,
-                                   [&shared] { return shared.tickets.Load(); } });
+  this->engine = MakeQueryEngine(
+    { *shared.queryNode, aTransport, this->timers, shared.clock, this->random, *shared.requests, [&shared] {
+       return shared.tickets.Load();
+     } });
   this->service = MakeRequestService({ *this->engine,
                                        *shared.requests,
                                        aForwarder,
@@ -55,10 +52,11 @@
   HttpServerSettings settings;
   settings.listen = shared.settings.caller;
   settings.reusePort = true;
-  BOOST_LEAF_ASSIGN(this->server,
-                    StartHttpServer(this->context, settings, [this](HttpRequest aRequest, HttpRespond aRespond) {
-                      this->api->Handle(std::move(aRequest), std::move(aRespond));
-                    }));
+  BOOST_LEAF_ASSIGN(
+    this->server,
+    StartHttpServer(this->context, settings, [this](HttpRequest aRequest, HttpRespond aRespond) {
+      this->api->Handle(std::move(aRequest), std::move(aRespond));
+    }));
   this->Sample();
   return {};
 }
--- a/src/app/internal/requestthread.h
+++ b/src/app/internal/requestthread.h
@@ -10,7 +10,8 @@
 
 namespace yp {
 
-/// One thread of the request path: accepts callers, runs their requests, and owns a part of the leafs' connections.
+/// One thread of the request path: accepts callers, runs their requests, and owns a part of the leafs'
+/// connections.
 class RequestThread
 {
 public:
--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -13,8 +13,8 @@
 {
   cxxopts::Options options("yuccaspoold", "daemon of the yuccaspool query tier; runs on each entry host");
   options.add_options()("settings", "INI file with the settings", cxxopts::value<std::string>())(
-    "check-settings", "check the settings and exit; 0 when they are valid, 2 otherwise")("version", "show the version")(
-    "h,help", "show this help");
+    "check-settings", "check the settings and exit; 0 when they are valid, 2 otherwise")(
+    "version", "show the version")("h,help", "show this help");
   return options;
 }
 
@@ -36,7 +36,8 @@
       return 0;
     },
     [&exitCode](const yp::Error& aError) {
-      std::cerr << "error: step=" << aError.step << (aError.peer.empty() ? "" : " peer=" + aError.peer) << "\n"
+      std::cerr << "error: step=" << aError.step << (aError.peer.empty() ? "" : " peer=" + aError.peer)
+                << "\n"
                 << aError.detail << "\n";
       return exitCode;
     });
