--- a/src/overlay/internal/overlaynode.cpp
+++ b/src/overlay/internal/overlaynode.cpp
@@ -232,9 +232,11 @@
 void
 OverlayNode::Evaluate()
 {
-  const bool before = this->readiness.Ready();
+  if (this->readiness.Ready()) {
+    return;
+  }
   this->readiness.Evaluate(this->options.clock.Now(), this->options.store.InForce(), this->OthersListed());
-  if (before || !this->readiness.Ready()) {
+  if (!this->readiness.Ready()) {
     return;
   }
   if (this->options.members.Own().state == MemberState::kJoining) {
@@ -789,6 +791,9 @@
   if (!message.records.empty()) {
     this->Send(aLink, message);
   }
+  for (const Suspicion& report : this->options.members.BelievedReports(aHashes)) {
+    this->Send(aLink, SuspectMessage{ report });
+  }
 }
 
 void
@@ -915,11 +920,7 @@
 bool
 OverlayNode::OthersListed() const
 {
-  const std::string& self = this->options.members.Own().host;
-  const HostListing current = this->listing.Listing();
-  return std::any_of(current.hosts.begin(), current.hosts.end(), [&self](const ListedHost& aHost) {
-    return aHost.host != self && !aHost.leaving;
-  });
+  return this->listing.NamesOther(this->options.members.Own().host);
 }
 
 std::optional<Duration>
