Test early takeover against an unseen return

A planner that took over all connections of a holder that is gone passed all tests, although the holder may come back with a peer's old history. The new test has both at once.

Before: that fault was not seen.

--- a/src/placement/tests/placement_tests.cpp
+++ b/src/placement/tests/placement_tests.cpp
@@ -385,3 +385,32 @@
   CHECK(early > before / 2);
   CHECK(Total(*planner->Plan(*state, *SampleView(rest, "h0000"), kStart + 91s)) >= early);
 }
+
+// Guards against a takeover beyond the headroom while the former holder comes back with an old view of a
+// peer.
+TEST_CASE("early takeover and an unseen return together stay within the limit")
+{
+  for (const double headroom : { 4.0, 20.0 }) {
+    FleetShape shape;
+    shape.headroomPercent = headroom;
+    shape.services = 12; // enough for h0000 to follow h0004 at some of them
+    const auto state = SampleState(shape);
+    const auto hosts = SampleHosts(shape, 12);
+    std::map<std::string, std::unique_ptr<IPlacementPlanner>> planners;
+    for (const PlacementHost& host : hosts) {
+      planners[host.host] = MakePlacementPlanner();
+      Settle(*planners[host.host], *state, *SampleView(hosts, host.host), kStart);
+    }
+    // h0004 stops and starts again; h0000 has only seen the stop and h0008 neither.
+    planners["h0004"] = MakePlacementPlanner();
+    planners["h0004"]->ImportHistory(planners["h0008"]->ExportHistory(kStart + 5s), kStart + 5s);
+    Sums sums;
+    for (const PlacementHost& host : hosts) {
+      const auto& seen = host.host == "h0000" ? Without(hosts, "h0004") : hosts;
+      const auto plan = planners[host.host]->Plan(*state, *SampleView(seen, host.host), kStart + 6s);
+      AddTo(sums, *plan);
+      CHECK(Total(*plan) > 0);
+    }
+    CHECK(Largest(sums) <= shape.connections);
+  }
+}
