Sort holders by rank instead of by name

After each membership event the holders of all services were sorted by comparing names. Members come sorted, so their ranks are compared now.

Placement unchanged.

--- a/src/placement/internal/placementplanner.cpp
+++ b/src/placement/internal/placementplanner.cpp
@@ -99,29 +99,42 @@
   return true;
 }
 
-PlacementPlanner::Hosts
+PlacementPlanner::PlacedHosts
 PlacementPlanner::GroupHosts(const MemberView& aView) const
 {
-  Hosts hosts(this->declared.names.size());
+  PlacedHosts placed;
+  placed.byDomain.resize(this->declared.names.size());
   for (const MemberStatus& member : aView.members) {
     const int domain = member.placed ? this->declared.Find(member.record.failureDomain) : -1;
     if (domain >= 0) {
-      hosts[static_cast<std::size_t>(domain)].push_back(member.record.host);
+      placed.byDomain[static_cast<std::size_t>(domain)].push_back(
+        static_cast<std::uint32_t>(placed.names.size()));
+      placed.names.push_back(&member.record.host);
     }
   }
-  return hosts;
+  return placed;
 }
 
 void
-PlacementPlanner::UpdateDomains(Hosts aHosts, bool aAll)
+PlacementPlanner::UpdateDomains(const PlacedHosts& aPlaced, bool aAll)
 {
   bool changed = aAll;
-  this->domains.resize(aHosts.size());
+  this->domains.resize(aPlaced.byDomain.size());
   this->ownDomain = -1;
-  for (std::size_t index = 0; index < aHosts.size(); ++index) {
+  for (std::size_t index = 0; index < aPlaced.byDomain.size(); ++index) {
     Domain& domain = this->domains[index];
-    if (aAll || domain.hosts != aHosts[index]) {
-      domain.hosts = std::move(aHosts[index]);
+    const std::vector<std::uint32_t>& ranks = aPlaced.byDomain[index];
+    const bool same = std::equal(
+      domain.hosts.begin(),
+      domain.hosts.end(),
+      ranks.begin(),
+      ranks.end(),
+      [&](const std::string& aHost, std::uint32_t aRank) { return aHost == *aPlaced.names[aRank]; });
+    if (aAll || !same) {
+      domain.hosts.clear();
+      for (const std::uint32_t rank : ranks) {
+        domain.hosts.push_back(*aPlaced.names[rank]);
+      }
       domain.assignment = AssignDomain(this->demands, domain.hosts);
       changed = true;
     }
@@ -130,7 +143,7 @@
     }
   }
   if (changed) {
-    this->BuildHolders();
+    this->BuildHolders(aPlaced);
   }
 }
 
@@ -180,33 +193,28 @@
 }
 
 void
-PlacementPlanner::BuildHolders()
+PlacementPlanner::BuildHolders(const PlacedHosts& aPlaced)
 {
-  std::vector<const std::string*> names;
   std::vector<WeightedService> weighted(this->demands.size());
-  for (const Domain& domain : this->domains) {
-    const auto first = static_cast<std::uint32_t>(names.size());
-    for (const std::string& host : domain.hosts) {
-      names.push_back(&host);
-    }
+  for (std::size_t index = 0; index < this->domains.size(); ++index) {
     for (std::size_t service = 0; service < this->demands.size(); ++service) {
-      for (const std::uint32_t owner : domain.assignment.owners[service]) {
-        weighted[service].holders.push_back(first + owner);
+      for (const std::uint32_t owner : this->domains[index].assignment.owners[service]) {
+        weighted[service].holders.push_back(aPlaced.byDomain[index][owner]);
       }
     }
   }
   for (std::size_t service = 0; service < this->demands.size(); ++service) {
     weighted[service].load = this->demands[service].load;
-    std::sort(weighted[service].holders.begin(),
-              weighted[service].holders.end(),
-              [&](std::uint32_t aLeft, std::uint32_t aRight) { return *names[aLeft] < *names[aRight]; });
+    // Ranks follow the names, so this sorts by name.
+    std::sort(weighted[service].holders.begin(), weighted[service].holders.end());
   }
-  BalanceWeights(weighted, names.size());
+  BalanceWeights(weighted, aPlaced.names.size());
   this->holders.clear();
   for (std::size_t service = 0; service < this->demands.size(); ++service) {
     ServicePlacement& placement = this->holders[this->demands[service].name];
-    for (const std::uint32_t holder : weighted[service].holders) {
-      placement.holders.push_back(*names[holder]);
+    placement.holders.reserve(weighted[service].holders.size());
+    for (const std::uint32_t rank : weighted[service].holders) {
+      placement.holders.push_back(*aPlaced.names[rank]);
     }
     placement.weights = std::move(weighted[service].weights);
   }
--- a/src/placement/internal/placementplanner.h
+++ b/src/placement/internal/placementplanner.h
@@ -33,15 +33,20 @@
     Domain domain;
   };
 
-  using Hosts = std::vector<std::vector<std::string>>;
+  /// Placed hosts of a view. An index into names is called a rank.
+  struct PlacedHosts
+  {
+    std::vector<const std::string*> names;            ///< sorted
+    std::vector<std::vector<std::uint32_t>> byDomain; ///< ranks of each failure domain's hosts
+  };
 
   bool UpdateServices(const TicketState& aState);
-  Hosts GroupHosts(const MemberView& aView) const;
-  void UpdateDomains(Hosts aHosts, bool aAll);
+  PlacedHosts GroupHosts(const MemberView& aView) const;
+  void UpdateDomains(const PlacedHosts& aPlaced, bool aAll);
   void UpdateHistory(const MemberView& aView, TimePoint aNow, bool aAll);
   void DropOldHistory(TimePoint aNow);
   bool OthersReady(const MemberView& aView) const;
-  void BuildHolders();
+  void BuildHolders(const PlacedHosts& aPlaced);
   /// \param aTakeover whether a position counts as free when its holder in a past set is certainly gone
   std::map<std::string, std::uint32_t> LeastShares(const TicketState& aState,
                                                    const MemberView& aView,
