--- a/src/app/internal/adminapi.cpp
+++ b/src/app/internal/adminapi.cpp
@@ -14,7 +14,7 @@
     std::chrono::duration_cast<std::chrono::milliseconds>(aTime.time_since_epoch()).count() % 1000;
   std::tm parts{};
   gmtime_r(&seconds, &parts);
-  char text[40];
+  char text[96];
   std::snprintf(text,
                 sizeof text,
                 "%04d-%02d-%02dT%02d:%02d:%02d.%03dZ",
--- a/src/app/internal/controlplane.cpp
+++ b/src/app/internal/controlplane.cpp
@@ -45,8 +45,8 @@
   PeerSettings peerSettings;
   peerSettings.listen = settings.peer;
   BOOST_LEAF_ASSIGN(this->peers, StartPeerTransport(this->context, peerSettings));
-  this->configService = MakeConfigService(this->context, settings.configService);
-  this->hostList = MakeHostList(this->context, settings.hostList);
+  this->configService = MakeConfigServiceClient(this->context, settings.configService);
+  this->hostList = MakeHostListClient(this->context, settings.hostList);
   this->store = MakeTicketStore(this->node.clock);
   this->memberTable = MakeMemberTable(OwnRecord(this->node), this->node.clock);
   this->overlay = MakeOverlayNode({ this->node.clock,
