--- a/src/overlay/tests/overlay_tests.cpp
+++ b/src/overlay/tests/overlay_tests.cpp
@@ -254,6 +254,25 @@
   REQUIRE(world.LargestFrame() <= 1024 * 1024 + 64 * 1024);
 }
 
+// Guards against bodies sent to nodes that do not need them, and against headers alone holding back the
+// number in force.
+TEST_CASE("a node without interest applies the header and does not pull the body")
+{
+  FakeWorld world(9, { 1, 2, 6 });
+  StartReady(world);
+  world.SetInterest([](std::size_t aNode, const TicketHeader&) { return aNode % 2 == 0; });
+  const TicketNumber number = world.Publish(50000);
+  REQUIRE(world.RunUntil(kConvergence, [&] { return world.Converged(); }));
+  std::size_t without = 0;
+  for (std::size_t i = 0; i < world.Size(); ++i) {
+    const bool hasBody = world.Store(i).Body(number).has_value();
+    REQUIRE((hasBody || i % 2 == 1));
+    without += hasBody ? 0 : 1;
+  }
+  // Two readers in each domain read the body from the service themselves.
+  REQUIRE(without >= 2);
+}
+
 // Guards against a leaving node that still gets work after the bound of 3 s.
 TEST_CASE("leaving is known everywhere within 3 s")
 {
