--- a/src/query/internal/concurrencylimit.cpp
+++ b/src/query/internal/concurrencylimit.cpp
@@ -15,7 +15,8 @@
 
 ConcurrencyLimit::ConcurrencyLimit(std::uint32_t aSlots, std::uint32_t aFactor)
   : maximum(std::max<std::uint32_t>(1, aSlots * aFactor) * kUnit)
-  , milli(std::max<std::uint32_t>(1, aSlots) * kUnit)
+  , start(std::max<std::uint32_t>(1, aSlots) * kUnit)
+  , milli(start)
 {
 }
 
@@ -30,7 +31,7 @@
   this->recent.store(std::max<std::int64_t>(1, fast), std::memory_order_relaxed);
   this->baseline.store(std::max<std::int64_t>(1, slow), std::memory_order_relaxed);
   if (fast > kGrowthFactor * slow) {
-    this->Decrease(900, aNow);
+    this->Decrease(900, this->start, aNow);
     return;
   }
   const std::uint32_t limit = this->milli.load(std::memory_order_relaxed);
@@ -41,7 +42,7 @@
 }
 
 void
-ConcurrencyLimit::Decrease(std::uint32_t aPerMille, TimePoint aNow)
+ConcurrencyLimit::Decrease(std::uint32_t aPerMille, std::uint32_t aFloor, TimePoint aNow)
 {
   const std::int64_t now = aNow.time_since_epoch().count();
   std::int64_t until = this->holdUntil.load(std::memory_order_relaxed);
@@ -49,7 +50,10 @@
     return;
   }
   const std::uint32_t limit = this->milli.load(std::memory_order_relaxed);
-  this->milli.store(std::max(kUnit, limit / kUnit * aPerMille + limit % kUnit * aPerMille / kUnit),
+  if (limit <= aFloor) {
+    return;
+  }
+  this->milli.store(std::max(aFloor, limit / kUnit * aPerMille + limit % kUnit * aPerMille / kUnit),
                     std::memory_order_relaxed);
 }
 
--- a/src/query/internal/concurrencylimit.h
+++ b/src/query/internal/concurrencylimit.h
@@ -23,14 +23,17 @@
   void OnAnswer(Duration aLatency, std::uint32_t aInFlight, TimePoint aNow);
 
   /// Takes a shed or connection refusal into account.
-  void OnShed(TimePoint aNow) { this->Decrease(700, aNow); }
+  void OnShed(TimePoint aNow) { this->Decrease(700, kUnit, aNow); }
 
 private:
   static constexpr std::uint32_t kUnit = 1000;
 
-  void Decrease(std::uint32_t aPerMille, TimePoint aNow);
+  void Decrease(std::uint32_t aPerMille, std::uint32_t aFloor, TimePoint aNow);
 
   const std::uint32_t maximum;
+  /// Growth of latency does not reduce the limit below the slots: a leaf that is slow with all slots in use
+  /// is not relieved by leaving some empty.
+  const std::uint32_t start;
   std::atomic<std::uint32_t> milli;
   std::atomic<std::int64_t> recent{ 0 };   ///< EWMA over about 10 answers, ns
   std::atomic<std::int64_t> baseline{ 0 }; ///< EWMA over about 200 answers, ns
--- a/src/query/internal/lookuprunner.cpp
+++ b/src/query/internal/lookuprunner.cpp
@@ -7,6 +7,8 @@
 
 // Rooms that another thread makes are not announced here, so waiting parts look again after this time.
 constexpr Duration kWaitPoll = std::chrono::milliseconds(5);
+constexpr Duration kHedgePoll = std::chrono::milliseconds(2);
+constexpr std::uint32_t kMaxHedges = 2;
 constexpr Duration kRetryBackoff = std::chrono::milliseconds(20);
 constexpr std::uint32_t kMaxBackoffDoublings = 3;
 constexpr Duration kMaxDecisionMargin = std::chrono::milliseconds(2);
@@ -297,10 +299,9 @@
   part.state = PartState::kSent;
   part.tried |= 1ULL << aReplica;
   if (aPurpose == Purpose::kHedge) {
-    part.hedged = true;
-  } else {
-    part.sentAt = now;
+    ++part.hedges;
   }
+  part.sentAt = now;
   LeafAttempt attempt;
   if (!aLookup.learning) {
     attempt.indexVersion = aLookup.version;
@@ -379,12 +380,18 @@
   }
   for (std::size_t index = 0; index < aLookup.parts.size(); ++index) {
     Part& part = aLookup.parts[index];
-    if (part.state != PartState::kSent || part.hedged || aNow < part.sentAt + aLookup.hedgeDelay) {
+    if (part.state != PartState::kSent || part.hedges >= kMaxHedges ||
+        aNow < part.sentAt + aLookup.hedgeDelay) {
       continue;
     }
-    const ReplicaNeed need{ aLookup.version, part.tried, true };
-    const ReplicaChoice choice =
-      ChooseReplica(aLookup.layout->shards[index], need, this->node.options, this->random, aNow);
+    ReplicaNeed need{ aLookup.version, part.tried, true };
+    ShardPlan& shard = aLookup.layout->shards[index];
+    ReplicaChoice choice = ChooseReplica(shard, need, this->node.options, this->random, aNow);
+    if (choice.index < 0 && !choice.busy && part.hedges > 0) {
+      // A delay may belong to the attempt and not to the leaf, so the second hedge may repeat a leaf.
+      need.tried = 0;
+      choice = ChooseReplica(shard, need, this->node.options, this->random, aNow);
+    }
     if (choice.index < 0) {
       continue;
     }
@@ -549,7 +556,7 @@
   }
   part.tried = 0;
   part.paid = true;
-  part.hedged = false;
+  part.hedges = 0;
   const Duration backoff = kRetryBackoff * (1LL << std::min(part.rounds, kMaxBackoffDoublings));
   ++part.rounds;
   this->Wait(aLookup, aPart, now + backoff);
@@ -569,11 +576,12 @@
     return false;
   }
   this->RetryWaiting(*lookup, aWaiter.part, now);
-  const bool sent = part.state == PartState::kSent;
+  // A part that found no room has queued itself again, so a further waiter would find none either.
+  const bool used = part.state != PartState::kFailed;
   if (!this->DecideIfSettled(*lookup)) {
     this->Arm(*lookup);
   }
-  return sent;
+  return used;
 }
 
 void
@@ -635,8 +643,9 @@
   for (const Part& part : aLookup.parts) {
     if (part.state == PartState::kWaiting) {
       consider(std::min(part.waitUntil, std::max(part.retryAt, aNow + kWaitPoll)));
-    } else if (part.state == PartState::kSent && !part.hedged) {
-      consider(part.sentAt + aLookup.hedgeDelay);
+    } else if (part.state == PartState::kSent && part.hedges < kMaxHedges) {
+      // A hedge that was due but found no room or budget is tried again.
+      consider(std::max(part.sentAt + aLookup.hedgeDelay, aNow + kHedgePoll));
     }
   }
   // Early completion is looked for again while parts are late.
--- a/src/query/internal/lookuprunner.h
+++ b/src/query/internal/lookuprunner.h
@@ -57,8 +57,8 @@
   {
     PartState state = PartState::kIdle;
     std::uint64_t tried = 0;
-    bool hedged = false;
-    bool paid = false; ///< the retry that it waits for needs a token of the budget
+    std::uint32_t hedges = 0; ///< sent in this round
+    bool paid = false;        ///< the retry that it waits for needs a token of the budget
     bool freeRetry = false;
     bool queued = false; ///< among the waiters of its shard
     std::uint32_t rounds = 0;
--- a/src/query/tests/fakeleafs.h
+++ b/src/query/tests/fakeleafs.h
@@ -131,6 +131,7 @@
 
   std::map<std::string, FakeLeaf> leafs;
   std::function<Duration(const LeafAttempt&, const FakeLeaf&)> latencyOf;
+  std::function<Duration(const LeafAttempt&)> replyDelayOf; ///< on the way back; holds no slot
   std::function<void(const LeafAttempt&)> onSend;
   std::function<void(const LeafAttempt&, LeafReply&)> onReply; ///< may alter a reply
   std::string hits;                                            ///< body of search replies; empty: one hit
@@ -237,7 +238,7 @@
       if (this->onReply) {
         this->onReply(attempt, reply);
       }
-      this->Reply(aId, reply);
+      this->Return(aId, reply);
     }
     while (leaf.slots != 0 && leaf.busy < leaf.slots && !leaf.queue.empty()) {
       const std::function<void()> next = std::move(leaf.queue.front());
@@ -246,6 +247,15 @@
     }
   }
 
+  void Return(std::uint64_t aId, const LeafReply& aReply)
+  {
+    const Duration delay = this->replyDelayOf ? this->replyDelayOf(this->open.at(aId).attempt) : Duration(0);
+    if (delay == Duration(0)) {
+      return this->Reply(aId, aReply);
+    }
+    this->timers.At(this->clock.Now() + delay, [this, aId, aReply] { this->Reply(aId, aReply); });
+  }
+
   std::string Hits(const std::string& aLeaf, IndexVersion aVersion) const
   {
     if (!this->hits.empty()) {
--- a/src/query/tests/lookup_tests.cpp
+++ b/src/query/tests/lookup_tests.cpp
@@ -345,3 +345,23 @@
     CHECK(answer.coverage.Complete());
   }
 }
+
+// Guards against an endless search for a waiter when the room at a leaf is gone again.
+TEST_CASE("many parts wait at leafs whose limit has dropped, and the engine goes on")
+{
+  FakeNode node(MakeService(2, 1));
+  REQUIRE(node.Lookup().coverage.Complete());
+  for (int i = 0; i < 60; ++i) {
+    node.Start("orders");
+  }
+  for (auto& [name, leaf] : node.leafs.leafs) {
+    leaf.shed = true;
+  }
+  node.timers.RunFor(30ms);
+  for (auto& [name, leaf] : node.leafs.leafs) {
+    leaf.shed = false;
+  }
+  node.timers.RunFor(1s);
+  CHECK(node.answers.size() == 61);
+  CHECK(node.engine->InFlight() == 0);
+}
