--- a/standins/backend/internal/leafserver.cpp
+++ b/standins/backend/internal/leafserver.cpp
@@ -156,12 +156,12 @@
 void
 LeafServer::Refuse(boost::asio::ip::tcp::socket aSocket)
 {
-  static const std::string kRefusal = "HTTP/1.1 503 Service Unavailable\r\nYp-Not-Run: connections\r\n"
+  static const std::string sRefusal = "HTTP/1.1 503 Service Unavailable\r\nYp-Not-Run: connections\r\n"
                                       "Connection: close\r\nContent-Length: 0\r\n\r\n";
   ++this->counters.refused;
   const auto socket = std::make_shared<boost::asio::ip::tcp::socket>(std::move(aSocket));
   boost::asio::async_write(
-    *socket, boost::asio::buffer(kRefusal), [socket](const boost::system::error_code&, std::size_t) {
+    *socket, boost::asio::buffer(sRefusal), [socket](const boost::system::error_code&, std::size_t) {
       boost::system::error_code ignored;
       socket->shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
     });
