Reuse attempts in the leaf transport

Each leaf request allocated an Attempt of about 180 bytes beside the caller's body, the reply's body and its list of versions.

Each thread now keeps up to 1,024 finished attempts for its next sends.

--- a/src/leaf/internal/leafpool.cpp
+++ b/src/leaf/internal/leafpool.cpp
@@ -5,6 +5,13 @@
 
 namespace yp {
 
+namespace {
+
+// Enough for the attempts of some queries at a time; more are freed.
+constexpr std::size_t kMaxSpareAttempts = 1024;
+
+} // namespace
+
 void
 Attempt::OnTimer()
 {
@@ -53,7 +60,7 @@
 void
 LeafPool::Send(LeafAttempt aAttempt, Handler aHandler)
 {
-  auto attempt = std::make_unique<Attempt>();
+  auto attempt = this->NewAttempt();
   attempt->origin = this->index;
   attempt->request = std::move(aAttempt);
   const LeafAttempt& request = attempt->request;
@@ -87,6 +94,34 @@
   this->ScheduleFlush();
 }
 
+std::unique_ptr<Attempt>
+LeafPool::NewAttempt()
+{
+  if (this->spareAttempts.empty()) {
+    return std::make_unique<Attempt>();
+  }
+  auto attempt = std::move(this->spareAttempts.back());
+  this->spareAttempts.pop_back();
+  return attempt;
+}
+
+void
+LeafPool::Recycle(std::unique_ptr<Attempt> aAttempt)
+{
+  if (this->spareAttempts.size() >= kMaxSpareAttempts) {
+    return;
+  }
+  aAttempt->ClearTimer();
+  if (aAttempt->QueueHook::is_linked()) {
+    aAttempt->QueueHook::unlink();
+  }
+  aAttempt->request = LeafAttempt();
+  aAttempt->group = nullptr;
+  aAttempt->connection = nullptr;
+  aAttempt->cancelled = false;
+  this->spareAttempts.push_back(std::move(aAttempt));
+}
+
 void
 LeafPool::ScheduleFlush()
 {
@@ -288,7 +323,9 @@
   this->outboxes[aAttempt.origin].replies.push_back(std::move(aReply));
   this->ScheduleFlush();
   const auto found = this->attempts.find(aAttempt.request.id);
+  auto finished = std::move(found->second);
   this->attempts.erase(found);
+  this->Recycle(std::move(finished));
 }
 
 LeafGroup*
--- a/src/leaf/internal/leafpool.h
+++ b/src/leaf/internal/leafpool.h
@@ -105,6 +105,8 @@
     Handler handler;
   };
 
+  std::unique_ptr<Attempt> NewAttempt();
+  void Recycle(std::unique_ptr<Attempt> aAttempt);
   void ScheduleFlush();
   void Flush();
   void Receive(Batch& aBatch);
@@ -132,6 +134,7 @@
   // As the owner of connections.
   std::unordered_multimap<std::uint64_t, std::unique_ptr<LeafGroup>> groups;
   boost::unordered_flat_map<std::uint64_t, std::unique_ptr<Attempt>> attempts;
+  std::vector<std::unique_ptr<Attempt>> spareAttempts;
   std::size_t opening = 0;
   std::deque<LeafGroup*> waitingToOpen;
   std::vector<LeafGroup*> toAdjust;
