--- a/standins/backend/tests/standin_tests.cpp
+++ b/standins/backend/tests/standin_tests.cpp
@@ -174,21 +174,25 @@
 {
   // Guards against planned stops that cut off requests, and against drains that callers cannot see.
   BackendBehaviour behaviour;
-  behaviour.base = milliseconds(30);
+  behaviour.base = milliseconds(400);
   behaviour.drainGrace = milliseconds(40);
   Pair pair(behaviour);
   bool drained = false;
-  pair.Send(false, 42, kSearch);
+  const std::uint64_t running = pair.Send(false, 42, kSearch);
   pair.context.run_for(milliseconds(5));
   pair.server->Drain([&] { drained = true; });
-  REQUIRE(pair.RunUntilReplies(1));
-  CHECK(pair.replies[0].status == AttemptStatus::kAnswered);
-  CHECK(pair.replies[0].draining);
-  std::this_thread::sleep_for(milliseconds(15));
+  // The first request runs on past the grace, so that the server cannot have stopped when the second arrives.
+  pair.context.run_for(milliseconds(80));
+  CHECK_FALSE(drained);
   pair.Send(false, 42, kSearch);
   REQUIRE(pair.RunUntilReplies(2));
-  CHECK(pair.replies[1].reason == NotRunReason::kDraining);
-  pair.context.run_for(milliseconds(80));
+  CHECK(pair.replies[0].status == AttemptStatus::kNotRun);
+  CHECK(pair.replies[0].reason == NotRunReason::kDraining);
+  CHECK(pair.replies[0].draining);
+  CHECK(pair.replies[1].id == running);
+  CHECK(pair.replies[1].status == AttemptStatus::kAnswered);
+  CHECK(pair.replies[1].draining);
+  pair.context.run_for(milliseconds(120));
   CHECK(drained);
   CHECK(pair.LeafStats()["after_draining"] == 1);
 }
