Rebuild steering's table only when its inputs change

Each update looked up every holder by name in the member view and built all candidate lists, also when only loads had changed. Members are found by hash.

--- a/src/steering/internal/steering.cpp
+++ b/src/steering/internal/steering.cpp
@@ -18,11 +18,14 @@
 /// Draws a random order in which a node comes first with probability in proportion to its weight, among those
 /// that hold equally many of the caller's services.
 std::vector<DrawnCandidate>
-DrawOrder(const std::vector<SteeringCandidate>& aCandidates, IRandom& aRandom)
+DrawOrder(const std::vector<SteeringCandidate>& aCandidates,
+          const std::vector<double>& aFactors,
+          IRandom& aRandom)
 {
   std::vector<DrawnCandidate> drawn;
   drawn.reserve(aCandidates.size());
-  for (const SteeringCandidate& candidate : aCandidates) {
+  for (SteeringCandidate candidate : aCandidates) {
+    candidate.weight *= aFactors[candidate.node];
     // The smallest of exponential draws with rates w belongs to each with probability w / sum.
     const double key = -std::log(1.0 - aRandom.Real()) / std::max(candidate.weight, 1e-12);
     drawn.push_back({ candidate, key });
@@ -59,15 +62,25 @@
               TimePoint aNow) override
   {
     this->weights.Step(aLoads, aState->fleet->addressTtl, aNow);
-    this->table.Store(BuildSteeringTable(*aState, *aView, *aPlacement, this->weights, this->options));
+    this->UpdateTable(std::move(aState), std::move(aView), std::move(aPlacement));
+    Ref<SteeringSnapshot> next(new SteeringSnapshot);
+    next->table = this->table;
+    next->factors.reserve(this->table->nodes.size());
+    next->utilisations.reserve(this->table->nodes.size());
+    for (const SteeringNode& node : this->table->nodes) {
+      next->factors.push_back(this->weights.Factor(node.host));
+      next->utilisations.push_back(this->weights.Utilisation(node.host));
+    }
+    this->snapshot.Store(next);
   }
 
   Result<AddressAnswer> Answer(const std::string& aCaller, IRandom& aRandom) const override
   {
-    const Ref<const SteeringTable> current = this->table.Load();
-    if (!current) {
+    const Ref<const SteeringSnapshot> loaded = this->snapshot.Load();
+    if (!loaded) {
       return Fail(ErrorCode::kUnavailable, "steering.answer", "", "no state yet");
     }
+    const SteeringTable* current = loaded->table.get();
     const auto found = current->candidates.find(aCaller);
     if (found == current->candidates.end()) {
       return Fail(ErrorCode::kNotFound, "steering.answer", "", "unknown caller " + aCaller);
@@ -80,21 +93,21 @@
     const double jitter = 1.0 + this->options.ttlJitter * (2.0 * aRandom.Real() - 1.0);
     answer.ttl = std::chrono::milliseconds(std::llround(static_cast<double>(current->ttl.count()) * jitter));
     answer.ticket = current->ticket;
-    this->FillAddresses(*current, DrawOrder(found->second, aRandom), aRandom, answer);
+    this->FillAddresses(*current, DrawOrder(found->second, loaded->factors, aRandom), aRandom, answer);
     return answer;
   }
 
   Result<std::string> ForwardTarget(const std::string& aService, IRandom& aRandom) const override
   {
-    const Ref<const SteeringTable> current = this->table.Load();
-    std::vector<const SteeringNode*> usable;
+    const Ref<const SteeringSnapshot> current = this->snapshot.Load();
+    std::vector<std::size_t> usable;
     if (current) {
-      const auto found = current->holders.find(aService);
-      if (found != current->holders.end()) {
+      const SteeringTable& places = *current->table;
+      const auto found = places.holders.find(aService);
+      if (found != places.holders.end()) {
         for (const SteeringHolder& holder : found->second) {
-          const SteeringNode& node = current->nodes[holder.node];
-          if (node.host != current->self) {
-            usable.push_back(&node);
+          if (places.nodes[holder.node].host != places.self) {
+            usable.push_back(holder.node);
           }
         }
       }
@@ -105,11 +118,26 @@
     const std::size_t first = aRandom.Below(usable.size());
     const std::size_t other = usable.size() == 1 ? 0 : aRandom.Below(usable.size() - 1);
     const std::size_t second = other >= first && usable.size() > 1 ? other + 1 : other;
-    const bool takeFirst = usable[first]->utilisation <= usable[second]->utilisation;
-    return usable[takeFirst ? first : second]->host;
+    const std::vector<double>& loads = current->utilisations;
+    const bool takeFirst = loads[usable[first]] <= loads[usable[second]];
+    return current->table->nodes[usable[takeFirst ? first : second]].host;
   }
 
 private:
+  /// Builds the table anew unless the inputs are the same objects as before.
+  void UpdateTable(Ref<const TicketState> aState,
+                   Ref<const MemberView> aView,
+                   Ref<const Placement> aPlacement)
+  {
+    if (aState == this->lastState && aView == this->lastView && aPlacement == this->lastPlacement) {
+      return;
+    }
+    this->table = BuildSteeringTable(*aState, *aView, *aPlacement, this->options);
+    this->lastState = std::move(aState);
+    this->lastView = std::move(aView);
+    this->lastPlacement = std::move(aPlacement);
+  }
+
   void FillAddresses(const SteeringTable& aTable,
                      const std::vector<DrawnCandidate>& aDrawn,
                      IRandom& aRandom,
@@ -157,7 +185,11 @@
 
   const SteeringOptions options;
   LoadWeights weights;
-  RcuCell<SteeringTable> table;
+  Ref<const TicketState> lastState;
+  Ref<const MemberView> lastView;
+  Ref<const Placement> lastPlacement;
+  Ref<const SteeringTable> table; ///< of the last inputs; control thread only
+  RcuCell<SteeringSnapshot> snapshot;
 };
 
 } // namespace
--- a/src/steering/internal/steeringtable.cpp
+++ b/src/steering/internal/steeringtable.cpp
@@ -1,5 +1,6 @@
 #include "steering/internal/steeringtable.h"
 #include <algorithm>
+#include <string_view>
 #include <unordered_map>
 
 namespace yp {
@@ -15,12 +16,10 @@
   TableBuilder(const TicketState& aState,
                const MemberView& aView,
                const Placement& aPlacement,
-               const LoadWeights& aWeights,
                const SteeringOptions& aOptions)
     : state(aState)
     , view(aView)
     , placement(aPlacement)
-    , weights(aWeights)
     , options(aOptions)
     , table(new SteeringTable)
   {
@@ -31,6 +30,10 @@
     this->table->ticket = this->state.inForce;
     this->table->ttl = this->state.fleet->addressTtl;
     this->table->self = this->view.self;
+    this->members.reserve(this->view.members.size());
+    for (const MemberStatus& member : this->view.members) {
+      this->members.emplace(member.record.host, &member);
+    }
     this->self = this->FindMember(this->view.self);
     for (const auto& entry : this->placement.services) {
       this->AddHolders(entry.first, entry.second);
@@ -50,12 +53,8 @@
 
   const MemberStatus* FindMember(const std::string& aHost) const
   {
-    const auto found = std::lower_bound(
-      this->view.members.begin(),
-      this->view.members.end(),
-      aHost,
-      [](const MemberStatus& aMember, const std::string& aName) { return aMember.record.host < aName; });
-    return found != this->view.members.end() && found->record.host == aHost ? &*found : nullptr;
+    const auto found = this->members.find(aHost);
+    return found == this->members.end() ? nullptr : found->second;
   }
 
   double Preference(const MemberRecord& aRecord) const
@@ -73,12 +72,8 @@
   {
     const auto known = this->indices.emplace(aRecord.host, this->table->nodes.size());
     if (known.second) {
-      this->table->nodes.push_back({ aRecord.host,
-                                     aRecord.callerEndpoint,
-                                     aRecord.failureDomain,
-                                     this->weights.Factor(aRecord.host),
-                                     this->Preference(aRecord),
-                                     this->weights.Utilisation(aRecord.host) });
+      this->table->nodes.push_back(
+        { aRecord.host, aRecord.callerEndpoint, aRecord.failureDomain, this->Preference(aRecord) });
     }
     return known.first->second;
   }
@@ -115,7 +110,7 @@
     for (const auto& entry : found) {
       const SteeringNode& node = this->table->nodes[entry.first];
       candidates.push_back(entry.second);
-      candidates.back().weight *= node.factor * node.preference;
+      candidates.back().weight *= node.preference;
     }
   }
 
@@ -133,11 +128,11 @@
   const TicketState& state;
   const MemberView& view;
   const Placement& placement;
-  const LoadWeights& weights;
   const SteeringOptions& options;
   Ref<SteeringTable> table;
   const MemberStatus* self = nullptr;
-  std::unordered_map<std::string, std::size_t> indices;
+  std::unordered_map<std::string_view, const MemberStatus*> members;
+  std::unordered_map<std::string_view, std::size_t> indices; ///< keys refer to the view
 };
 
 } // namespace
@@ -146,10 +141,9 @@
 BuildSteeringTable(const TicketState& aState,
                    const MemberView& aView,
                    const Placement& aPlacement,
-                   const LoadWeights& aWeights,
                    const SteeringOptions& aOptions)
 {
-  return TableBuilder(aState, aView, aPlacement, aWeights, aOptions).Run();
+  return TableBuilder(aState, aView, aPlacement, aOptions).Run();
 }
 
 } // namespace yp
--- a/src/steering/internal/steeringtable.h
+++ b/src/steering/internal/steeringtable.h
@@ -1,7 +1,6 @@
 #ifndef YP_STEERING_INTERNAL_STEERINGTABLE_H
 #define YP_STEERING_INTERNAL_STEERINGTABLE_H
 
-#include "steering/internal/loadweight.h"
 #include "steering/steering.h"
 #include <map>
 #include <string>
@@ -15,9 +14,7 @@
   std::string host;
   Endpoint endpoint;
   std::string failureDomain;
-  double factor = 1;      ///< from measured load
-  double preference = 1;  ///< from the distance to the asked node
-  double utilisation = 0; ///< for the choice of a forward target
+  double preference = 1; ///< from the distance to the asked node
 };
 
 /// A holder as an index of a node.
@@ -32,10 +29,10 @@
 {
   std::size_t node = 0;
   std::size_t services = 0; ///< number of the caller's services that it holds
-  double weight = 0;
+  double weight = 0;        ///< without the factor from measured load
 };
 
-/// All that Answer and ForwardTarget read. Immutable; swapped by RCU.
+/// What follows from tickets, members and placement. Immutable; kept while these do not change.
 struct SteeringTable : RefCounted<SteeringTable>
 {
   TicketNumber ticket = 0;
@@ -47,12 +44,19 @@
   std::vector<std::size_t> spares; ///< some nodes of each failure domain, which forward to holders
 };
 
+/// All that Answer and ForwardTarget read. Immutable; swapped by RCU.
+struct SteeringSnapshot : RefCounted<SteeringSnapshot>
+{
+  Ref<const SteeringTable> table;
+  std::vector<double> factors;      ///< from measured load, for each node of the table
+  std::vector<double> utilisations; ///< for the choice of a forward target
+};
+
 /// Builds the table from one consistent set of inputs.
 Ref<const SteeringTable>
 BuildSteeringTable(const TicketState& aState,
                    const MemberView& aView,
                    const Placement& aPlacement,
-                   const LoadWeights& aWeights,
                    const SteeringOptions& aOptions);
 
 } // namespace yp
