--- a/src/membership/imembertable.h
+++ b/src/membership/imembertable.h
@@ -78,7 +78,7 @@
   /// \return the current view; rebuilt only when the table has changed since the last call
   virtual Ref<const MemberView> View() = 0;
 
-  /// \return hash of all announced records, independent of the order of arrival
+  /// \return hash of all announced records and believed reports, independent of the order of arrival
   virtual std::uint64_t Hash() const = 0;
 
   /// \return hash of each bucket
@@ -87,6 +87,10 @@
   /// \return the announced records in buckets whose hash differs from the given ones
   /// \param aHashes kBuckets hashes of another table; other sizes yield nothing
   virtual std::vector<MemberRecord> Difference(const std::vector<std::uint64_t>& aHashes) const = 0;
+
+  /// \return the reports behind members believed unreachable, in the same buckets. Passing them on lets a
+  /// member that is reachable hear of them and refute them.
+  virtual std::vector<Suspicion> BelievedReports(const std::vector<std::uint64_t>& aHashes) const = 0;
 };
 
 } // namespace yp
--- a/src/membership/internal/membertable.cpp
+++ b/src/membership/internal/membertable.cpp
@@ -63,7 +63,9 @@
   std::uint64_t contribution = 0;
   // Records that nodes forget at different times are left out, so that equal views have equal hashes.
   if (Announced(aMember) && record.state != MemberState::kGone) {
-    contribution = Hash64(record.host + ' ' + ToString(record.incarnation), record.sequence);
+    const std::uint64_t run =
+      Hash64(record.host, aMember.record.incarnation.high ^ aMember.record.incarnation.low);
+    contribution = Hash64(aMember.believed ? "unreachable" : "reachable", run ^ record.sequence);
   }
   const std::uint64_t change = contribution ^ aMember.contribution;
   this->hash ^= change;
@@ -108,7 +110,7 @@
 void
 MemberTable::ClearReports(Member& aMember)
 {
-  aMember.reportingDomains.clear();
+  aMember.reports.clear();
   aMember.decideAt.reset();
   aMember.believed = false;
 }
@@ -212,11 +214,11 @@
     return this->RefuteOwn();
   }
   // A later report of the same domain decides nothing and is not passed on.
-  if (member.believed || member.reportingDomains.size() >= kMaxReportingDomains ||
-      !member.reportingDomains.insert(aSuspicion.reporterDomain).second) {
+  if (member.believed || member.reports.size() >= kMaxReportingDomains ||
+      !member.reports.emplace(aSuspicion.reporterDomain, aSuspicion).second) {
     return MergeResult::kIgnored;
   }
-  if (member.reportingDomains.size() >= 2 && !member.decideAt) {
+  if (member.reports.size() >= 2 && !member.decideAt) {
     member.decideAt = this->clock.Now() + kRefutationTime;
     this->timed.insert(aSuspicion.host);
   }
@@ -286,7 +288,7 @@
   for (const std::string& host : due) {
     Member& member = this->members.at(host);
     if (member.decideAt && now >= *member.decideAt) {
-      YP_INVARIANT(member.reportingDomains.size() >= 2, "death_needs_two_domains", host);
+      YP_INVARIANT(member.reports.size() >= 2, "death_needs_two_domains", host);
       member.decideAt.reset();
       member.believed = true;
       this->Changed(member);
@@ -356,4 +358,24 @@
   return records;
 }
 
+std::vector<Suspicion>
+MemberTable::BelievedReports(const std::vector<std::uint64_t>& aHashes) const
+{
+  std::vector<Suspicion> reports;
+  if (aHashes.size() != kBuckets) {
+    return reports;
+  }
+  // Unreachable members are always among the timed ones.
+  for (const std::string& host : this->timed) {
+    const Member& member = this->members.at(host);
+    const std::size_t bucket = BucketOf(host);
+    if (member.believed && aHashes[bucket] != this->buckets[bucket]) {
+      for (const auto& report : member.reports) {
+        reports.push_back(report.second);
+      }
+    }
+  }
+  return reports;
+}
+
 } // namespace yp
--- a/src/membership/internal/membertable.h
+++ b/src/membership/internal/membertable.h
@@ -30,6 +30,7 @@
   std::uint64_t Hash() const override { return this->hash; }
   const std::vector<std::uint64_t>& BucketHashes() const override { return this->buckets; }
   std::vector<MemberRecord> Difference(const std::vector<std::uint64_t>& aHashes) const override;
+  std::vector<Suspicion> BelievedReports(const std::vector<std::uint64_t>& aHashes) const override;
 
 private:
   struct Member
@@ -37,11 +38,11 @@
     MemberRecord record;
     bool listed = false;
     bool listedLeaving = false;
-    bool dropped = false;                   ///< a listing named the host and a newer one does not
-    bool linkFailed = false;                ///< this node cannot reach it
-    bool believed = false;                  ///< reporters in two failure domains were not refuted
-    std::set<std::string> reportingDomains; ///< failure domains with an unrefuted report
-    std::optional<TimePoint> decideAt;      ///< when unrefuted reports are believed
+    bool dropped = false;                     ///< a listing named the host and a newer one does not
+    bool linkFailed = false;                  ///< this node cannot reach it
+    bool believed = false;                    ///< reporters in two failure domains were not refuted
+    std::map<std::string, Suspicion> reports; ///< unrefuted reports, one a failure domain
+    std::optional<TimePoint> decideAt;        ///< when unrefuted reports are believed
     std::optional<TimePoint> unreachableSince;
     bool placed = true;
     std::uint64_t contribution = 0; ///< part of the hashes
--- a/src/overlay/internal/listinglog.cpp
+++ b/src/overlay/internal/listinglog.cpp
@@ -123,4 +123,12 @@
   return listing;
 }
 
+bool
+ListingLog::NamesOther(const std::string& aHost) const
+{
+  return std::any_of(this->rows.begin(), this->rows.end(), [&aHost](const auto& aRow) {
+    return aRow.first != aHost && !aRow.second.host.leaving;
+  });
+}
+
 } // namespace yp
--- a/src/overlay/internal/listinglog.h
+++ b/src/overlay/internal/listinglog.h
@@ -24,6 +24,9 @@
   /// \return the whole list
   HostListing Listing() const;
 
+  /// \return whether a host that stays is listed besides the given one
+  bool NamesOther(const std::string& aHost) const;
+
   std::uint64_t Version() const { return this->version; }
 
 private:
--- a/src/overlay/internal/messages.cpp
+++ b/src/overlay/internal/messages.cpp
@@ -10,6 +10,8 @@
 
 constexpr std::size_t kMaxName = 256;
 constexpr std::size_t kMaxElements = 100000;
+// Exact in every JSON reader, and far enough from overflow for sums of ticket numbers.
+constexpr std::uint64_t kMaxTicketNumber = 1ULL << 53;
 constexpr std::size_t kCompressFrom = 1024;
 // Level 1: bodies are compressed on the control thread.
 constexpr int kCompressionLevel = 1;
@@ -313,7 +315,7 @@
 {
   FieldReader reader(aValue);
   TicketHeader header;
-  header.number = reader.Number("n");
+  header.number = reader.Number("n", kMaxTicketNumber);
   header.hash = reader.Text("h");
   header.size = reader.Number("s");
   header.valid = reader.Flag("v");
@@ -346,14 +348,14 @@
     aReader.Mark("a body is malformed");
     return {};
   }
-  const TicketNumber number = aReader.AsNumber(aValue[0], std::numeric_limits<std::uint64_t>::max());
+  const TicketNumber number = aReader.AsNumber(aValue[0], kMaxTicketNumber);
   return { number, aReader.AsPacked(aValue[1], kMaxBodyBytes) };
 }
 
 TicketNumber
 ReadNumber(FieldReader& aReader, const Json& aValue)
 {
-  return aReader.AsNumber(aValue, std::numeric_limits<std::uint64_t>::max());
+  return aReader.AsNumber(aValue, kMaxTicketNumber);
 }
 
 TicketRange
@@ -445,8 +447,8 @@
 Read(FieldReader& aReader, DigestMessage& aMessage)
 {
   constexpr std::uint64_t kMaxAgeMs = 1000ULL * 3600 * 24 * 3650;
-  aMessage.inForce = aReader.Number("k");
-  aMessage.highest = aReader.Number("h");
+  aMessage.inForce = aReader.Number("k", kMaxTicketNumber);
+  aMessage.highest = aReader.Number("h", kMaxTicketNumber);
   aMessage.missing = aReader.List<TicketRange>("m", kMaxElements, ReadRange);
   if (aReader.Has("f")) {
     aMessage.freshness = std::chrono::milliseconds(aReader.Number("f", kMaxAgeMs));
@@ -475,15 +477,15 @@
 void
 Read(FieldReader& aReader, TransferRequestMessage& aMessage)
 {
-  aMessage.completeTo = aReader.Number("k");
-  aMessage.after = aReader.Number("a");
+  aMessage.completeTo = aReader.Number("k", kMaxTicketNumber);
+  aMessage.after = aReader.Number("a", kMaxTicketNumber);
 }
 
 void
 Read(FieldReader& aReader, TransferChunkMessage& aMessage)
 {
-  aMessage.completeTo = aReader.Number("k");
-  aMessage.after = aReader.Number("a");
+  aMessage.completeTo = aReader.Number("k", kMaxTicketNumber);
+  aMessage.after = aReader.Number("a", kMaxTicketNumber);
   aMessage.bodies = aReader.List<NumberedBody>("b", kMaxElements, ReadBody);
   aMessage.deferred = aReader.List<TicketHeader>("d", kMaxElements, ReadHeader);
   aMessage.last = aReader.Flag("z");
--- a/src/overlay/internal/overlaynode.cpp
+++ b/src/overlay/internal/overlaynode.cpp
@@ -17,6 +17,8 @@
 constexpr milliseconds kLongestRedial{ 1500 };
 // A restarted process answers again within this time and is then not reported.
 constexpr seconds kReportAfter{ 2 };
+constexpr seconds kFirstReportInterval{ 10 };
+constexpr seconds kLongestReportInterval{ 600 };
 // Keeps links from flapping while views differ.
 constexpr seconds kSpareLinkTime{ 10 };
 constexpr std::size_t kInlineBytes = 2048;
@@ -230,9 +232,11 @@
 void
 OverlayNode::Evaluate()
 {
-  const bool before = this->readiness.Ready();
+  if (this->readiness.Ready()) {
+    return;
+  }
   this->readiness.Evaluate(this->options.clock.Now(), this->options.store.InForce(), this->OthersListed());
-  if (before || !this->readiness.Ready()) {
+  if (!this->readiness.Ready()) {
     return;
   }
   if (this->options.members.Own().state == MemberState::kJoining) {
@@ -327,12 +331,18 @@
     }
     const bool reported =
       dial.reportedIncarnation == record->incarnation && dial.reportedSequence == record->sequence;
+    if (now < dial.nextReport) {
+      continue;
+    }
     const bool announced = record->incarnation != Incarnation{};
     if (reported || !announced) {
       continue;
     }
     dial.reportedIncarnation = record->incarnation;
     dial.reportedSequence = record->sequence;
+    // Where only some paths are cut, each report is refuted; the interval grows so that this ends.
+    dial.reportInterval = std::clamp(dial.reportInterval * 2, kFirstReportInterval, kLongestReportInterval);
+    dial.nextReport = now + dial.reportInterval;
     const Suspicion report = this->options.members.LinkFailed(entry.first);
     this->options.members.ApplySuspicion(report);
     this->FloodSuspicion(report, kNoLink);
@@ -781,6 +791,9 @@
   if (!message.records.empty()) {
     this->Send(aLink, message);
   }
+  for (const Suspicion& report : this->options.members.BelievedReports(aHashes)) {
+    this->Send(aLink, SuspectMessage{ report });
+  }
 }
 
 void
@@ -790,9 +803,8 @@
     aState.hashMismatches = 0;
     return;
   }
-  // One mismatch is common while an announcement travels.
-  const bool first =
-    ++aState.hashMismatches == 1 && !this->options.members.Own().host.empty() && this->readiness.Ready();
+  // One mismatch is common while an announcement travels. A newcomer does not wait.
+  const bool first = ++aState.hashMismatches == 1 && this->readiness.Ready();
   const TimePoint now = this->options.clock.Now();
   if (first || now < aState.nextBuckets || this->options.members.Own().host > aState.host) {
     return;
@@ -908,11 +920,7 @@
 bool
 OverlayNode::OthersListed() const
 {
-  const std::string& self = this->options.members.Own().host;
-  const HostListing current = this->listing.Listing();
-  return std::any_of(current.hosts.begin(), current.hosts.end(), [&self](const ListedHost& aHost) {
-    return aHost.host != self && !aHost.leaving;
-  });
+  return this->listing.NamesOther(this->options.members.Own().host);
 }
 
 std::optional<Duration>
--- a/src/overlay/internal/overlaynode.h
+++ b/src/overlay/internal/overlaynode.h
@@ -51,6 +51,8 @@
     std::optional<TimePoint> failingSince;
     Incarnation reportedIncarnation;
     std::uint64_t reportedSequence = 0;
+    std::chrono::seconds reportInterval{ 0 };
+    TimePoint nextReport;
   };
 
   template<class T>
