Use proven connections to a leaf before new ones

A leaf over its connection limit accepts, answers 503 and closes. A request written to such a connection before the refusal is read ends as unknown when the leaf's reset overtakes the reply, and an execute request is then lost.

Connections that have answered a request are now taken first, and new ones last. A test sends two requests around the growth of a share and fails when the second goes to a new connection.

The window remains for a leaf's first connection.

--- a/src/leaf/internal/leafgroup.cpp
+++ b/src/leaf/internal/leafgroup.cpp
@@ -217,8 +217,11 @@
   }
   if (aConnection.HasReplied()) {
     this->reopenDelay = Duration(0);
+    this->idle.push_back(&aConnection);
+  } else {
+    // A refusal may still be on its way; a request written before it is read could end as unknown.
+    this->idle.insert(this->idle.begin(), &aConnection);
   }
-  this->idle.push_back(&aConnection);
   this->ServeQueue();
 }
 
--- a/src/leaf/internal/leafgroup.h
+++ b/src/leaf/internal/leafgroup.h
@@ -79,7 +79,7 @@
   std::string searchStart;  ///< start of a search request, up to the fields that differ
   std::string executeStart; ///< the same for an execute request
   std::vector<ConnectionRef> connections;
-  std::vector<Connection*> idle; ///< the last one was used most recently
+  std::vector<Connection*> idle; ///< taken from the end: most recently used first, new ones last
   AttemptQueue queue;
   std::size_t opening = 0;
   std::size_t penalisedShare = 0; ///< in force until refusedUntil
--- a/src/leaf/tests/connections_tests.cpp
+++ b/src/leaf/tests/connections_tests.cpp
@@ -30,6 +30,25 @@
   CHECK(bench.pools->Counters().open == 6);
 }
 
+TEST_CASE("connections that have answered are used before new ones")
+{
+  // Guards against unknown outcomes on a new connection whose refusal has not arrived yet.
+  Bench bench(1);
+  std::vector<FakeSession*> used;
+  bench.server.script = [&](FakeSession& aSession, FakeRequest& aRequest) {
+    used.push_back(&aSession);
+    aSession.Raw(FakeReply(aRequest).Text());
+  };
+  bench.Send(bench.MakeAttempt());
+  REQUIRE(bench.RunUntilReplies(1));
+  bench.SetShare(3);
+  REQUIRE(bench.RunUntil([&] { return bench.pools->Counters().opened == 3; }));
+  bench.Send(bench.MakeAttempt());
+  REQUIRE(bench.RunUntilReplies(2));
+  REQUIRE(used.size() == 2);
+  CHECK(used[0] == used[1]);
+}
+
 TEST_CASE("a share that shrinks cuts off nothing in flight")
 {
   // Guards against requests that a change of placement interrupts, and against connections over the share.
