Separate links for calls from links of the overlay

Ruled out: the call's deadline and the member record. Before: the resent slip failed with 'the link does not take the call'. After: a link has a purpose, carried as the WebSocket resource, and each user hears only of its own links.

--- a/src/overlay/internal/overlaynode.cpp
+++ b/src/overlay/internal/overlaynode.cpp
@@ -78,8 +78,10 @@
   this->Register<ListingRequestMessage>(&OverlayNode::OnListingRequest);
   this->Register<ListingMessage>(&OverlayNode::OnListing);
   this->Register<ByeMessage>(&OverlayNode::OnBye);
-  this->options.network.OnLink([this](LinkId aLink, bool aOutbound) { this->OnLinkUp(aLink, aOutbound); },
-                               [this](LinkId aLink, const Error&) { this->OnLinkDown(aLink); });
+  this->options.network.OnLink(
+    LinkPurpose::kOverlay,
+    [this](LinkId aLink, bool aOutbound) { this->OnLinkUp(aLink, aOutbound); },
+    [this](LinkId aLink, const Error&) { this->OnLinkDown(aLink); });
   this->reader = MakeConfigReader({ this->options.clock,
                                     this->options.random,
                                     this->options.service,
@@ -295,7 +297,7 @@
     if (now < dial.next || this->HasLinkTo(host)) {
       continue;
     }
-    const LinkId id = this->options.network.Open(record->peerEndpoint);
+    const LinkId id = this->options.network.Open(record->peerEndpoint, LinkPurpose::kOverlay);
     Link& link = this->links[id];
     link.outbound = true;
     link.target = host;
--- a/src/overlay/ipeernetwork.h
+++ b/src/overlay/ipeernetwork.h
@@ -11,6 +11,13 @@
 /// Number of a link within this process; never reused.
 using LinkId = std::uint64_t;
 
+/// Who uses a link. Links of one purpose are never closed or reused by the other.
+enum class LinkPurpose
+{
+  kOverlay, ///< flooding of tickets and members between neighbours
+  kCalls    ///< calls with a reply, opened on demand
+};
+
 /// A typed message between two nodes. The payload is a CBOR map whose fields belong to the type.
 struct PeerFrame
 {
@@ -30,7 +37,7 @@
 
   /// Opens a link. The outcome is reported by the link-up or the link-down handlers, never from within the
   /// call.
-  virtual LinkId Open(const Endpoint& aEndpoint) = 0;
+  virtual LinkId Open(const Endpoint& aEndpoint, LinkPurpose aPurpose) = 0;
 
   /// Closes a link; no event follows for it.
   virtual void Close(LinkId aLink) = 0;
@@ -42,8 +49,8 @@
   /// Registers the receiver of one type of frame. Frames of unknown types are counted and dropped.
   virtual void OnFrame(const std::string& aType, FrameHandler aHandler) = 0;
 
-  /// Adds receivers of link events.
-  virtual void OnLink(LinkUpHandler aUp, LinkDownHandler aDown) = 0;
+  /// Adds receivers of the events of links of one purpose, opened from either side.
+  virtual void OnLink(LinkPurpose aPurpose, LinkUpHandler aUp, LinkDownHandler aDown) = 0;
 };
 
 } // namespace yp
--- a/src/overlay/tests/fakeworld.h
+++ b/src/overlay/tests/fakeworld.h
@@ -319,7 +319,10 @@
       , node(aNode)
     {
     }
-    LinkId Open(const Endpoint& aEndpoint) override { return this->world.Open(this->node, aEndpoint); }
+    LinkId Open(const Endpoint& aEndpoint, LinkPurpose) override
+    {
+      return this->world.Open(this->node, aEndpoint);
+    }
     void Close(LinkId aLink) override { this->world.CloseEnd(aLink); }
     Result<void> Send(LinkId aLink, const PeerFrame& aFrame) override
     {
@@ -329,7 +332,7 @@
     {
       this->handlers[aType] = std::move(aHandler);
     }
-    void OnLink(LinkUpHandler aUp, LinkDownHandler aDown) override
+    void OnLink(LinkPurpose, LinkUpHandler aUp, LinkDownHandler aDown) override
     {
       this->up = std::move(aUp);
       this->down = std::move(aDown);
--- a/src/peer/internal/peertransport.cpp
+++ b/src/peer/internal/peertransport.cpp
@@ -72,12 +72,29 @@
   ConnectionPtr connection;
   LinkState state;
   bool outbound = false;
+  LinkPurpose purpose = LinkPurpose::kOverlay;
   std::string peer;
   TimePoint opened;
   TimePoint lastHeard;
   TimePoint lastPing;
 };
 
+constexpr const char* kOverlayResource = "/overlay";
+constexpr const char* kCallsResource = "/calls";
+
+/// Receivers of the events of links of one purpose.
+struct LinkHandlers
+{
+  std::vector<IPeerNetwork::LinkUpHandler> up;
+  std::vector<IPeerNetwork::LinkDownHandler> down;
+};
+
+const char*
+ResourceOf(LinkPurpose aPurpose)
+{
+  return aPurpose == LinkPurpose::kOverlay ? kOverlayResource : kCallsResource;
+}
+
 TimePoint
 Now()
 {
@@ -135,30 +152,33 @@
     ClearHandlers(this->server);
     this->server.set_validate_handler(nullptr);
     this->frameHandlers.clear();
-    this->upHandlers.clear();
-    this->downHandlers.clear();
+    this->linkHandlers.clear();
     while (!this->links.empty()) {
       Abort(*this->Remove(this->links.begin()->first));
     }
   }
 
-  LinkId Open(const Endpoint& aEndpoint)
+  LinkId Open(const Endpoint& aEndpoint, LinkPurpose aPurpose)
   {
     const LinkId id = ++this->lastLink;
     error_code error;
     asio::ip::make_address(aEndpoint.address, error);
     if (error) {
       this->ReportLater(
-        id, Error{ ErrorCode::kBadInput, kLinkStep, ToString(aEndpoint), "not a numeric IP address" });
+        id,
+        aPurpose,
+        Error{ ErrorCode::kBadInput, kLinkStep, ToString(aEndpoint), "not a numeric IP address" });
       return id;
     }
-    const ConnectionPtr connection = this->client.get_connection("ws://" + ToString(aEndpoint) + "/", error);
+    const ConnectionPtr connection =
+      this->client.get_connection("ws://" + ToString(aEndpoint) + ResourceOf(aPurpose), error);
     if (error) {
-      this->ReportLater(id, Error{ ErrorCode::kBadInput, kLinkStep, ToString(aEndpoint), error.message() });
+      this->ReportLater(
+        id, aPurpose, Error{ ErrorCode::kBadInput, kLinkStep, ToString(aEndpoint), error.message() });
       return id;
     }
     connection->add_subprotocol(kSubprotocol, error);
-    this->AddLink(id, connection, true, ToString(aEndpoint));
+    this->AddLink(id, connection, true, ToString(aEndpoint)).purpose = aPurpose;
     this->client.connect(connection);
     return id;
   }
@@ -208,10 +228,11 @@
     this->frameHandlers[aType] = std::move(aHandler);
   }
 
-  void OnLink(IPeerNetwork::LinkUpHandler aUp, IPeerNetwork::LinkDownHandler aDown)
+  void OnLink(LinkPurpose aPurpose, IPeerNetwork::LinkUpHandler aUp, IPeerNetwork::LinkDownHandler aDown)
   {
-    this->upHandlers.push_back(std::move(aUp));
-    this->downHandlers.push_back(std::move(aDown));
+    LinkHandlers& handlers = this->linkHandlers[aPurpose];
+    handlers.up.push_back(std::move(aUp));
+    handlers.down.push_back(std::move(aDown));
   }
 
   Endpoint LocalEndpoint()
@@ -307,16 +328,16 @@
     aLink.connection->get_raw_socket().close(ignored);
   }
 
-  void ReportLater(LinkId aLink, Error aError)
+  void ReportLater(LinkId aLink, LinkPurpose aPurpose, Error aError)
   {
-    asio::post(this->context, [self = Ref<PeerCore>(this), aLink, error = std::move(aError)] {
-      self->ReportDown(aLink, error);
+    asio::post(this->context, [self = Ref<PeerCore>(this), aLink, aPurpose, error = std::move(aError)] {
+      self->ReportDown(aLink, aPurpose, error);
     });
   }
 
-  void ReportDown(LinkId aLink, const Error& aError)
+  void ReportDown(LinkId aLink, LinkPurpose aPurpose, const Error& aError)
   {
-    const std::vector<IPeerNetwork::LinkDownHandler> handlers = this->downHandlers;
+    const std::vector<IPeerNetwork::LinkDownHandler> handlers = this->linkHandlers[aPurpose].down;
     for (const IPeerNetwork::LinkDownHandler& handler : handlers) {
       handler(aLink, aError);
     }
@@ -333,13 +354,13 @@
     const std::unique_ptr<Link> link = this->Remove(aLink);
     Abort(*link);
     if (known) {
-      this->ReportDown(aLink, Error{ aCode, kLinkStep, link->peer, std::move(aDetail) });
+      this->ReportDown(aLink, link->purpose, Error{ aCode, kLinkStep, link->peer, std::move(aDetail) });
     }
   }
 
   bool Validate(const ws::connection_hdl& aHandle)
   {
-    const Link* link = this->Find(aHandle);
+    Link* link = this->Find(aHandle);
     if (link == nullptr) {
       return false;
     }
@@ -352,12 +373,15 @@
       link->connection->set_status(ws::http::status_code::service_unavailable);
       return false;
     }
+    const std::string& resource = link->connection->get_resource();
     error_code error;
     link->connection->select_subprotocol(kSubprotocol, error);
-    if (error) {
+    if (error || (resource != kOverlayResource && resource != kCallsResource)) {
       ++this->counters.refusedInbound;
+      return false;
     }
-    return !error;
+    link->purpose = resource == kCallsResource ? LinkPurpose::kCalls : LinkPurpose::kOverlay;
+    return true;
   }
 
   void OnConnected(const ws::connection_hdl& aHandle)
@@ -387,7 +411,7 @@
     link->lastHeard = Now();
     const LinkId id = link->id;
     const bool outbound = link->outbound;
-    const std::vector<IPeerNetwork::LinkUpHandler> handlers = this->upHandlers;
+    const std::vector<IPeerNetwork::LinkUpHandler> handlers = this->linkHandlers[link->purpose].up;
     for (const IPeerNetwork::LinkUpHandler& handler : handlers) {
       handler(id, outbound);
     }
@@ -520,8 +544,7 @@
   std::map<LinkId, std::unique_ptr<Link>> links;
   std::unordered_map<void*, LinkId> byConnection;
   std::map<std::string, IPeerNetwork::FrameHandler> frameHandlers;
-  std::vector<IPeerNetwork::LinkUpHandler> upHandlers;
-  std::vector<IPeerNetwork::LinkDownHandler> downHandlers;
+  std::map<LinkPurpose, LinkHandlers> linkHandlers;
   PeerCounters counters;
   bool stopped = false;
 };
@@ -535,7 +558,10 @@
   }
   ~PeerTransport() override { this->core->Shutdown(); }
 
-  LinkId Open(const Endpoint& aEndpoint) override { return this->core->Open(aEndpoint); }
+  LinkId Open(const Endpoint& aEndpoint, LinkPurpose aPurpose) override
+  {
+    return this->core->Open(aEndpoint, aPurpose);
+  }
   void Close(LinkId aLink) override { this->core->Close(aLink); }
   Result<void> Send(LinkId aLink, const PeerFrame& aFrame) override
   {
@@ -545,9 +571,9 @@
   {
     this->core->OnFrame(aType, std::move(aHandler));
   }
-  void OnLink(LinkUpHandler aUp, LinkDownHandler aDown) override
+  void OnLink(LinkPurpose aPurpose, LinkUpHandler aUp, LinkDownHandler aDown) override
   {
-    this->core->OnLink(std::move(aUp), std::move(aDown));
+    this->core->OnLink(aPurpose, std::move(aUp), std::move(aDown));
   }
   Endpoint LocalEndpoint() const override { return this->core->LocalEndpoint(); }
   PeerCounters Counters() const override { return this->core->Counters(); }
--- a/src/peer/tests/peer_tests.cpp
+++ b/src/peer/tests/peer_tests.cpp
@@ -30,6 +30,7 @@
     this->served.Call([&] {
       this->transport = StartPeerTransport(this->served.context, aSettings).value();
       this->transport->OnLink(
+        LinkPurpose::kOverlay,
         [this](LinkId aLink, bool) {
           this->lastUp = aLink;
           ++this->ups;
@@ -52,7 +53,7 @@
 
   LinkId Open(const Endpoint& aEndpoint)
   {
-    return this->served.Call([&] { return this->transport->Open(aEndpoint); });
+    return this->served.Call([&] { return this->transport->Open(aEndpoint, LinkPurpose::kOverlay); });
   }
   bool Send(const std::string& aPayload, const std::string& aType = "test")
   {
--- a/src/rpc/internal/peercalls.cpp
+++ b/src/rpc/internal/peercalls.cpp
@@ -21,8 +21,10 @@
   , timers(aTimers)
   , clock(aClock)
 {
-  this->network.OnLink([this](LinkId aLink, bool) { this->OnLinkUp(aLink); },
-                       [this](LinkId aLink, const Error& aError) { this->OnLinkDown(aLink, aError); });
+  this->network.OnLink(
+    LinkPurpose::kCalls,
+    [this](LinkId aLink, bool) { this->OnLinkUp(aLink); },
+    [this](LinkId aLink, const Error& aError) { this->OnLinkDown(aLink, aError); });
   this->network.OnFrame(kCallFrame,
                         [this](LinkId aLink, const PeerFrame& aFrame) { this->OnCall(aLink, aFrame); });
   this->network.OnFrame(kReplyFrame, [this](LinkId, const PeerFrame& aFrame) { this->OnReply(aFrame); });
@@ -55,7 +57,7 @@
   Route& route = this->routes[aPeer];
   route.lastUsed = this->clock.Now();
   if (route.link == 0) {
-    route.link = this->network.Open(aPeer);
+    route.link = this->network.Open(aPeer, LinkPurpose::kCalls);
     return;
   }
   if (route.up) {
--- a/src/rpc/tests/fakepeernetwork.h
+++ b/src/rpc/tests/fakepeernetwork.h
@@ -19,11 +19,11 @@
   FakePeerNetwork(FakePeerFabric& aFabric, Endpoint aSelf);
   ~FakePeerNetwork() override;
 
-  LinkId Open(const Endpoint& aEndpoint) override;
+  LinkId Open(const Endpoint& aEndpoint, LinkPurpose aPurpose) override;
   void Close(LinkId aLink) override;
   Result<void> Send(LinkId aLink, const PeerFrame& aFrame) override;
   void OnFrame(const std::string& aType, FrameHandler aHandler) override { this->handlers[aType] = aHandler; }
-  void OnLink(LinkUpHandler aUp, LinkDownHandler aDown) override
+  void OnLink(LinkPurpose, LinkUpHandler aUp, LinkDownHandler aDown) override
   {
     this->ups.push_back(aUp);
     this->downs.push_back(aDown);
@@ -155,7 +155,7 @@
 }
 
 inline LinkId
-FakePeerNetwork::Open(const Endpoint& aEndpoint)
+FakePeerNetwork::Open(const Endpoint& aEndpoint, LinkPurpose)
 {
   return this->fabric.Connect(this->self, aEndpoint);
 }
