Adapt a node's limit on requests in flight to what its leafs can serve

Cause: with all leafs ten times slower and 120 % of their capacity offered, the node accepted every lookup. Parts queued for room at the leafs and most lookups ended at their deadline.

Changed: a lookup whose parts waited for room longer than the hedge delay (at least 20 ms) lowers the node's limit to 0.9 of the requests in flight, at most once in 50 ms and not below 8; other lookups raise it by one.

--- a/src/query/internal/loadshedder.cpp
+++ b/src/query/internal/loadshedder.cpp
@@ -1,4 +1,5 @@
 #include "query/internal/loadshedder.h"
+#include <algorithm>
 
 namespace yp {
 
@@ -8,6 +9,11 @@
 // out.
 constexpr Duration kDemandMemory = std::chrono::seconds(1);
 
+constexpr double kMinLimit = 8;
+constexpr double kDecrease = 0.9;
+// Lookups that queued together end together; their news counts once.
+constexpr Duration kDecreaseInterval = std::chrono::milliseconds(50);
+
 } // namespace
 
 bool
@@ -43,6 +49,30 @@
   --this->total;
 }
 
+void
+LoadShedder::OnEnd(bool aQueued, TimePoint aNow)
+{
+  const std::lock_guard<std::mutex> guard(this->mutex);
+  if (!aQueued) {
+    this->limit = std::min(this->maximum, this->limit + 1.0);
+    return;
+  }
+  if (aNow < this->nextDecrease) {
+    return;
+  }
+  this->nextDecrease = aNow + kDecreaseInterval;
+  // A limit far above the load would take long to have an effect.
+  const double used = std::min(this->limit, static_cast<double>(this->total) + 1.0);
+  this->limit = std::min(this->maximum, std::max(kMinLimit, used * kDecrease));
+}
+
+double
+LoadShedder::Limit()
+{
+  const std::lock_guard<std::mutex> guard(this->mutex);
+  return this->limit;
+}
+
 double
 LoadShedder::ActiveShares(TimePoint aNow)
 {
--- a/src/query/internal/loadshedder.h
+++ b/src/query/internal/loadshedder.h
@@ -14,7 +14,8 @@
 {
 public:
   LoadShedder(std::uint32_t aLimit, double aSoftFraction)
-    : limit(aLimit)
+    : maximum(aLimit)
+    , limit(aLimit)
     , softFraction(aSoftFraction)
   {
   }
@@ -25,6 +26,13 @@
 
   void Release(const std::string& aCaller);
 
+  /// Adapts the limit to what the leafs can serve.
+  /// \param aQueued whether parts of an ended lookup had to wait long for room at their leafs
+  void OnEnd(bool aQueued, TimePoint aNow);
+
+  /// \return requests that may be in flight now
+  double Limit();
+
 private:
   struct Load
   {
@@ -37,7 +45,9 @@
   double ActiveShares(TimePoint aNow);
 
   std::mutex mutex;
-  const std::uint32_t limit;
+  const double maximum;
+  double limit;
+  TimePoint nextDecrease;
   const double softFraction;
   std::uint32_t total = 0;
   std::unordered_map<std::string, Load> callers; ///< those with requests in flight or recent demand
--- a/src/query/internal/lookuprunner.cpp
+++ b/src/query/internal/lookuprunner.cpp
@@ -9,6 +9,8 @@
 constexpr Duration kWaitPoll = std::chrono::milliseconds(5);
 constexpr Duration kHedgePoll = std::chrono::milliseconds(2);
 constexpr std::uint32_t kMaxHedges = 2;
+// Shorter waits for room are ordinary bursts and no sign of overload.
+constexpr Duration kLongWait = std::chrono::milliseconds(20);
 constexpr Duration kRetryBackoff = std::chrono::milliseconds(20);
 constexpr std::uint32_t kMaxBackoffDoublings = 3;
 constexpr Duration kMaxDecisionMargin = std::chrono::milliseconds(2);
@@ -278,6 +280,7 @@
   }
   if (choice.busy) {
     this->Wait(aLookup, aPart, now);
+    part.roomSince = part.roomSince == TimePoint() ? now : part.roomSince;
     if (!part.queued && shard.waiting.size() < kMaxWaiting) {
       part.queued = true;
       shard.waiting.push_back(Waiter{ aLookup.handle, aLookup.generation, aPart });
@@ -296,6 +299,8 @@
   }
   this->CountAttempt(aPurpose);
   Part& part = aLookup.parts[aPart];
+  aLookup.queued |= this->WaitedLong(aLookup, part, now);
+  part.roomSince = TimePoint();
   part.state = PartState::kSent;
   part.tried |= 1ULL << aReplica;
   if (aPurpose == Purpose::kHedge) {
@@ -741,6 +746,11 @@
     ServiceHealth::Move(aLookup.plan->health->latePerMille, 0, kLateSamples);
   }
   const std::uint64_t handle = aLookup.handle;
+  const TimePoint now = this->clock.Now();
+  for (const Part& part : aLookup.parts) {
+    aLookup.queued |= this->WaitedLong(aLookup, part, now);
+  }
+  this->node.shedder.OnEnd(aLookup.queued, now);
   this->node.stats.RecordAnswer(aAnswer, this->clock.Now() - aLookup.start);
   this->CancelAll(aLookup);
   this->timers.Cancel(aLookup.timer);
@@ -748,6 +758,12 @@
   this->finished(handle, std::move(aAnswer));
 }
 
+bool
+LookupRunner::WaitedLong(const Lookup& aLookup, const Part& aPart, TimePoint aNow) const
+{
+  return aPart.roomSince != TimePoint() && aNow - aPart.roomSince > std::max(kLongWait, aLookup.hedgeDelay);
+}
+
 void
 LookupRunner::CancelAll(Lookup& aLookup)
 {
--- a/src/query/internal/lookuprunner.h
+++ b/src/query/internal/lookuprunner.h
@@ -65,6 +65,7 @@
     TimePoint sentAt;
     TimePoint retryAt;
     TimePoint waitUntil;
+    TimePoint roomSince;                 ///< start of the wait for room; none while it does not wait for room
     std::vector<std::uint64_t> attempts; ///< outstanding
   };
 
@@ -89,6 +90,7 @@
     RequestReason failure = RequestReason::kNoReplica; ///< of the last failed part
     bool mayHaveRun = false;
     bool hedgeTimeSeen = false;
+    bool queued = false; ///< a part waited long for room
     TimePoint start;
     TimePoint planned;
     TimePoint decideBy; ///< a little before the deadline, so that the answer is in time
@@ -136,6 +138,7 @@
   bool DecideEarly(Lookup& aLookup, TimePoint aNow);
   void Decide(Lookup& aLookup, RequestReason aReason);
   void Finish(Lookup& aLookup, RequestAnswer aAnswer);
+  bool WaitedLong(const Lookup& aLookup, const Part& aPart, TimePoint aNow) const;
   void CancelAll(Lookup& aLookup);
   Lookup* Find(std::uint64_t aHandle);
 
--- a/src/query/tests/parts_tests.cpp
+++ b/src/query/tests/parts_tests.cpp
@@ -187,3 +187,24 @@
   CHECK(health.RampWeight(now, 10s) < 0.1);
   CHECK(health.RampWeight(now + 10s, 10s) == 1.0);
 }
+
+// Guards against a node that accepts more than its leafs can serve, so that all requests are late.
+TEST_CASE("the node's limit falls while lookups queue for room, and rises again")
+{
+  LoadShedder shedder(100, 0.8);
+  TimePoint now{ 1h };
+  for (int i = 0; i < 40; ++i) {
+    REQUIRE(shedder.TryAdmit("a", 1, now));
+  }
+  shedder.OnEnd(true, now);
+  CHECK(shedder.Limit() < 40);
+  CHECK_FALSE(shedder.TryAdmit("a", 1, now));
+  for (int i = 0; i < 100; ++i) {
+    shedder.OnEnd(true, now += 100ms);
+    CHECK(shedder.Limit() >= 8);
+  }
+  for (int i = 0; i < 200; ++i) {
+    shedder.OnEnd(false, now);
+  }
+  CHECK(shedder.Limit() == 100);
+}
