Measure the engine's CPU cost per leaf request in query_bench

Cause: the cost in the scenario rows includes the fake leafs and virtual timers.

Changed: a run against a transport that replies at once, 5,000 lookups of 75 parts.

--- a/src/query/tests/query_bench.cpp
+++ b/src/query/tests/query_bench.cpp
@@ -134,6 +134,66 @@
   aTotals.sheds += stats.sheds;
 }
 
+/// Replies to all attempts at once, so that the time measured is the engine's.
+class InstantTransport final : public ILeafTransport
+{
+public:
+  void Send(LeafAttempt aAttempt, Handler aHandler) override
+  {
+    LeafReply reply;
+    reply.id = aAttempt.id;
+    reply.status = AttemptStatus::kAnswered;
+    reply.fromLeaf = true;
+    reply.indexVersion = 1;
+    reply.versions = { 1 };
+    reply.elapsed = 5ms;
+    reply.body = R"({"hits":[{"document":"document","score":1.5,"fields":{"title":"a"}}]})";
+    this->pending.emplace_back(std::move(aHandler), std::move(reply));
+  }
+
+  void Cancel(std::uint64_t) override {}
+
+  void ReplyAll()
+  {
+    std::vector<std::pair<Handler, LeafReply>> batch;
+    batch.swap(this->pending);
+    for (auto& [handler, reply] : batch) {
+      handler(std::move(reply));
+    }
+  }
+
+  std::vector<std::pair<Handler, LeafReply>> pending;
+};
+
+void
+MeasureCpu()
+{
+  constexpr int kQueries = 5000;
+  FakeNode node(MakeService(kShards, 2, kSlots));
+  InstantTransport transport;
+  const auto engine = MakeQueryEngine(
+    QueryEngineParts{ *node.node, transport, node.timers, node.clock, node.random, *node.requests, [&node] {
+                       return node.state;
+                     } });
+  std::uint64_t answered = 0;
+  const std::clock_t begun = std::clock();
+  for (int i = 0; i < kQueries; ++i) {
+    LookupRequest request{ "orders", "kiosk", R"({"terms":["a"]})", 10, node.clock.Now() + kDeadline };
+    engine->Lookup(request,
+                   [&](const RequestAnswer& aAnswer) { answered += aAnswer.coverage.Complete() ? 1 : 0; });
+    node.clock.Advance(5ms);
+    while (!transport.pending.empty()) {
+      transport.ReplyAll();
+    }
+  }
+  nlohmann::ordered_json row;
+  row["scenario"] = "cpu";
+  row["complete"] = answered;
+  row["cpu_us_per_leaf_request"] = static_cast<double>(std::clock() - begun) * 1e6 / CLOCKS_PER_SEC /
+                                   static_cast<double>(node.node->Stats().firstAttempts);
+  std::cout << row.dump() << std::endl;
+}
+
 double
 Quantile(std::vector<double>& aSorted, double aQuantile)
 {
@@ -191,6 +251,9 @@
   };
   const std::string only = aCount > 3 ? aArguments[3] : "";
   const std::string onlyScenario = aCount > 4 ? aArguments[4] : "";
+  if (onlyScenario.empty() || onlyScenario == "cpu") {
+    MeasureCpu();
+  }
   for (const Scenario& scenario : scenarios) {
     if (!onlyScenario.empty() && onlyScenario != scenario.name) {
       continue;
