--- a/src/app/internal/controlplane.cpp
+++ b/src/app/internal/controlplane.cpp
@@ -67,6 +67,8 @@
   this->fleet = MakeFleetStatus(
     { *this->calls, this->node.clock, this->node.members, [this] { return this->OwnReport(); } });
   this->planner = MakePlacementPlanner();
+  this->history =
+    std::make_unique<HistoryExchange>(*this->calls, this->node.clock, *this->planner, settings.host);
   this->loadExchange =
     std::make_unique<LoadExchange>(*this->calls, this->node.clock, this->node.controlRandom, settings.host);
   return {};
@@ -204,6 +206,16 @@
   this->node.queryNode->SetLeavingServers({ view->leavingServers.begin(), view->leavingServers.end() });
 }
 
+bool
+ControlPlane::MayPlace(const MemberView& aView)
+{
+  // Before the members are known a node would take the share of its whole failure domain.
+  if (!this->placementStarted) {
+    this->placementStarted = this->overlay->Ready() && this->history->Settle(aView);
+  }
+  return this->placementStarted;
+}
+
 void
 ControlPlane::ControlPlacement()
 {
@@ -211,7 +223,7 @@
   const Ref<const TicketState> state = this->node.tickets.Load();
   const Ref<const MemberView> view = this->node.members.Load();
   const bool changed = state != this->placedTickets || view != this->placedMembers;
-  if (!state || !view || (!changed && now < this->nextPlacement)) {
+  if (!state || !view || (!changed && now < this->nextPlacement) || !this->MayPlace(*view)) {
     return;
   }
   this->nextPlacement = now + kPlacementInterval;
--- a/src/app/internal/controlplane.h
+++ b/src/app/internal/controlplane.h
@@ -1,6 +1,7 @@
 #ifndef YP_APP_INTERNAL_CONTROLPLANE_H
 #define YP_APP_INTERNAL_CONTROLPLANE_H
 
+#include "app/internal/historyexchange.h"
 #include "app/internal/lifecycle.h"
 #include "app/internal/loadexchange.h"
 #include "app/internal/nodecontext.h"
@@ -70,6 +71,7 @@
   void ControlMembers();
   void ControlPlacement();
   void ControlSteering();
+  bool MayPlace(const MemberView& aView);
   void LogAudit(const AuditRecord& aRecord) const;
 
   NodeContext& node;
@@ -86,12 +88,14 @@
   std::unique_ptr<IForwarder> forwarder;
   std::unique_ptr<IFleetStatus> fleet;
   std::unique_ptr<IPlacementPlanner> planner;
+  std::unique_ptr<HistoryExchange> history;
   std::unique_ptr<LoadExchange> loadExchange;
   std::unique_ptr<Lifecycle> lifecycle;
   ILeafPools* pools = nullptr;
   std::function<double()> utilisation;
   Ref<const TicketState> placedTickets;
   Ref<const MemberView> placedMembers;
+  bool placementStarted = false;
   TimePoint nextPlacement;
   TimePoint nextSteering;
   std::thread thread;
