--- a/src/load/internal/loadrunner.cpp
+++ b/src/load/internal/loadrunner.cpp
@@ -182,7 +182,9 @@
     }
     const Endpoint target = caller.addresses[aAttempt->number % caller.addresses.size()];
     if (aAttempt->plan.execute && aAttempt->requestId.empty()) {
-      const Json body{ { "caller", this->settings.caller }, { "count", 1 } };
+      const Json body{ { "caller", this->settings.caller },
+                       { "service", this->settings.service },
+                       { "count", 1 } };
       this->Post(aAttempt, target, "/v1/request-ids", body.dump(), &LoadRunner::OnRequestId);
       return;
     }
@@ -242,7 +244,7 @@
   void OnRequestId(const AttemptPtr& aAttempt, const HttpResponse& aResponse)
   {
     const Json reply = ParseReply(aResponse.body);
-    const Json ids = reply.value("request_ids", Json());
+    const Json ids = reply.value("ids", Json());
     if (!ids.is_array() || ids.empty() || !ids[0].is_string()) {
       this->OnReply(aAttempt, aResponse);
       return;
--- a/src/load/tests/load_tests.cpp
+++ b/src/load/tests/load_tests.cpp
@@ -77,7 +77,7 @@
       return JsonResponse(200, Json{ { "ttl_ms", 50 }, { "addresses", rows } });
     }
     if (aRequest.target == "/v1/request-ids") {
-      return JsonResponse(200, Json{ { "request_ids", { "id" + std::to_string(++issued) } } });
+      return JsonResponse(200, Json{ { "ids", { "id" + std::to_string(++issued) } } });
     }
     if (aRequest.target == "/v1/requests") {
       ids.insert(Json::parse(aRequest.body)["request_id"].get<std::string>());
--- a/src/peer/tests/peer_tests.cpp
+++ b/src/peer/tests/peer_tests.cpp
@@ -107,7 +107,7 @@
 SendRaw(const Endpoint& aEndpoint, char aFirstByte, const std::string& aPayload)
 {
   RawClient client(aEndpoint);
-  client.Send("GET / HTTP/1.1\r\nHost: x\r\nUpgrade: websocket\r\nConnection: Upgrade\r\n"
+  client.Send("GET /overlay HTTP/1.1\r\nHost: x\r\nUpgrade: websocket\r\nConnection: Upgrade\r\n"
               "Sec-WebSocket-Version: 13\r\nSec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==\r\n"
               "Sec-WebSocket-Protocol: yuccaspool.1\r\n\r\n");
   REQUIRE(client.ReadUntil("\r\n\r\n").find(" 101 ") != std::string::npos);
