--- a/src/app/internal/lifecycle.cpp
+++ b/src/app/internal/lifecycle.cpp
@@ -70,7 +70,7 @@
   using initial_state = Starting;
 
   // A node that never served is not handed out to callers, so it stops without leaving first.
-  struct transition_table
+  struct transition_table // NOLINT(readability-identifier-naming): MSM asks for this name
     : boost::mpl::vector<Row<Starting, StartedEvent, Learning, none, none>,
                          Row<Starting, StopRequestedEvent, Stopped, StopWork, none>,
                          Row<Learning, BecameReadyEvent, Ready, none, none>,
