Pass leaving backend servers on between holders and explain what a node saw

Cause: each node learnt of a draining server only by its own reply or the host list, and explain could not say why a replica is avoided. After: the load exchange names servers that told the sender themselves; reports expire after 6 s; explain shows in flight, latency, versions, draining and exclusion.

--- a/src/app/internal/adminapi.cpp
+++ b/src/app/internal/adminapi.cpp
@@ -63,8 +63,26 @@
   return nodes;
 }
 
+/// Adds what this node saw of a leaf to its row.
+void
+AddObservation(Json& aRow, const LeafObservation& aObservation)
+{
+  aRow["in_flight"] = aObservation.inFlight;
+  aRow["limit"] = aObservation.limit;
+  aRow["latency_ms"] = std::chrono::duration<double, std::milli>(aObservation.latency).count();
+  aRow["versions"] = aObservation.versions;
+  if (aObservation.draining) {
+    aRow["reason"] = "its server is leaving; no new work";
+  } else if (aObservation.excluded) {
+    aRow["reason"] = "excluded after failures; probed from time to time";
+  }
+}
+
 Json
-ExplainReplicas(const ServiceSpec& aService, const ServicePlacement* aPlacement, ShardId aShard)
+ExplainReplicas(const ServiceSpec& aService,
+                const ServicePlacement* aPlacement,
+                ShardId aShard,
+                const std::vector<LeafObservation>& aObservations)
 {
   Json replicas = Json::array();
   for (const LeafSpec& leaf : aService.leafs) {
@@ -83,6 +101,11 @@
         { "layout", leaf.layout },
         { "own_connections", own },
         { "reason", own > 0 ? "this node may send requests to it" : "no connections from this node" } });
+    for (const LeafObservation& observation : aObservations) {
+      if (observation.leaf == leaf.leaf) {
+        AddObservation(replicas.back(), observation);
+      }
+    }
   }
   return replicas;
 }
@@ -262,7 +285,11 @@
            { "ticket", state ? state->inForce : 0 },
            { "problems", problems },
            { "nodes", ExplainNodes(*this->node.steering, caller, held, this->node.controlRandom) },
-           { "replicas", service ? ExplainReplicas(*service, held, shard) : Json::array() } };
+           { "replicas",
+             service
+               ? ExplainReplicas(
+                   *service, held, shard, this->node.queryNode->Observe(serviceName, this->node.clock.Now()))
+               : Json::array() } };
 }
 
 void
--- a/src/app/internal/controlplane.cpp
+++ b/src/app/internal/controlplane.cpp
@@ -136,6 +136,7 @@
   this->overlay->Tick();
   this->ControlTickets();
   this->ControlMembers();
+  this->ControlDraining();
   this->ControlPlacement();
   this->ControlSteering();
   this->ControlLifecycle();
@@ -203,7 +204,21 @@
     return;
   }
   this->node.members.Publish(view);
-  this->node.queryNode->SetLeavingServers({ view->leavingServers.begin(), view->leavingServers.end() });
+}
+
+void
+ControlPlane::ControlDraining()
+{
+  std::set<std::string> leaving = this->loadExchange->DrainingServers();
+  const Ref<const MemberView> view = this->node.members.Load();
+  if (view) {
+    leaving.insert(view->leavingServers.begin(), view->leavingServers.end());
+  }
+  if (leaving == this->leavingServers) {
+    return;
+  }
+  this->leavingServers = leaving;
+  this->node.queryNode->SetLeavingServers(leaving);
 }
 
 bool
@@ -249,7 +264,8 @@
   }
   if (now >= this->nextSteering) {
     this->nextSteering = now + kSteeringInterval;
-    this->loadExchange->Exchange(this->utilisation(), *placement, *view);
+    this->loadExchange->Exchange(
+      this->utilisation(), this->node.queryNode->DrainingServers(now), *placement, *view);
   }
   this->node.steering->Update(state, view, placement, this->loadExchange->Loads(), now);
 }
--- a/src/app/internal/controlplane.h
+++ b/src/app/internal/controlplane.h
@@ -69,6 +69,7 @@
   void ControlLifecycle();
   void ControlTickets();
   void ControlMembers();
+  void ControlDraining();
   void ControlPlacement();
   void ControlSteering();
   bool MayPlace(const MemberView& aView);
@@ -95,6 +96,7 @@
   std::function<double()> utilisation;
   Ref<const TicketState> placedTickets;
   Ref<const MemberView> placedMembers;
+  std::set<std::string> leavingServers; ///< as given to the request path
   bool placementStarted = false;
   TimePoint nextPlacement;
   TimePoint nextSteering;
--- a/src/app/internal/loadexchange.cpp
+++ b/src/app/internal/loadexchange.cpp
@@ -1,7 +1,6 @@
 #include "app/internal/loadexchange.h"
 #include <algorithm>
 #include <nlohmann/json.hpp>
-#include <set>
 
 namespace yp {
 
@@ -10,6 +9,7 @@
 constexpr const char* kLoadMethod = "load";
 constexpr std::size_t kPartners = 3;
 constexpr std::size_t kMaxLoads = 64; ///< bounds a message to about 2 KB
+constexpr std::size_t kMaxDraining = 64;
 constexpr std::chrono::seconds kMaxAge{ 6 };
 constexpr std::chrono::seconds kReplyWait{ 1 };
 constexpr CodecLimits kLimits{ 64 * 1024, 4 };
@@ -29,9 +29,13 @@
 }
 
 void
-LoadExchange::Exchange(double aUtilisation, const Placement& aPlacement, const MemberView& aView)
+LoadExchange::Exchange(double aUtilisation,
+                       std::set<std::string> aDraining,
+                       const Placement& aPlacement,
+                       const MemberView& aView)
 {
   this->loads[this->self] = { aUtilisation, this->clock.Now() };
+  this->ownDraining = std::move(aDraining);
   this->DropOld();
   std::set<std::string> partners;
   for (const auto& service : aPlacement.services) {
@@ -72,7 +76,13 @@
     const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - load.second.received);
     rows.push_back({ load.first, load.second.utilisation, std::max<std::int64_t>(age.count(), 0) });
   }
-  return EncodeCbor({ { "l", rows } });
+  Json draining = Json::array();
+  for (const std::string& server : this->ownDraining) {
+    if (draining.size() < kMaxDraining) {
+      draining.push_back(server);
+    }
+  }
+  return EncodeCbor({ { "l", rows }, { "d", draining } });
 }
 
 void
@@ -82,18 +92,8 @@
     [&]() -> Result<void> {
       BOOST_LEAF_AUTO(value, ParseCbor(aPayload, kLimits));
       try {
-        for (const Json& row : value.at("l")) {
-          const std::string host = row.at(0).get<std::string>();
-          const auto age = std::chrono::milliseconds(row.at(2).get<std::int64_t>());
-          if (host == this->self || age.count() < 0 || age > kMaxAge) {
-            continue;
-          }
-          const TimePoint measured = this->clock.Now() - age;
-          NodeLoad& known = this->loads[host];
-          if (measured > known.received) {
-            known = { row.at(1).get<double>(), measured };
-          }
-        }
+        this->MergeLoads(value.at("l"));
+        this->MergeDraining(value.at("d"));
       } catch (const Json::exception& error) {
         return Fail(ErrorCode::kBadInput, "load.merge", "", error.what());
       }
@@ -102,10 +102,48 @@
     [](const Error& aError) { LogError("loads_dropped", aError); });
 }
 
+void
+LoadExchange::MergeLoads(const Json& aRows)
+{
+  for (const Json& row : aRows) {
+    const std::string host = row.at(0).get<std::string>();
+    const auto age = std::chrono::milliseconds(row.at(2).get<std::int64_t>());
+    if (host == this->self || age.count() < 0 || age > kMaxAge) {
+      continue;
+    }
+    const TimePoint measured = this->clock.Now() - age;
+    NodeLoad& known = this->loads[host];
+    if (measured > known.received) {
+      known = { row.at(1).get<double>(), measured };
+    }
+  }
+}
+
+void
+LoadExchange::MergeDraining(const Json& aServers)
+{
+  for (const Json& server : aServers) {
+    this->heardDraining[server.get<std::string>()] = this->clock.Now();
+  }
+}
+
+std::set<std::string>
+LoadExchange::DrainingServers() const
+{
+  std::set<std::string> servers;
+  for (const auto& heard : this->heardDraining) {
+    servers.insert(heard.first);
+  }
+  return servers;
+}
+
 void
 LoadExchange::DropOld()
 {
   const TimePoint oldest = this->clock.Now() - kMaxAge;
+  for (auto heard = this->heardDraining.begin(); heard != this->heardDraining.end();) {
+    heard = heard->second < oldest ? this->heardDraining.erase(heard) : std::next(heard);
+  }
   for (auto load = this->loads.begin(); load != this->loads.end();) {
     load = load->second.received < oldest ? this->loads.erase(load) : std::next(load);
   }
--- a/src/query/internal/leafhealth.cpp
+++ b/src/query/internal/leafhealth.cpp
@@ -111,8 +111,26 @@
 bool
 LeafHealth::Draining(TimePoint aNow) const
 {
-  return this->leaving.load(std::memory_order_relaxed) ||
-         this->drainingUntil.load(std::memory_order_relaxed) > Ticks(aNow);
+  return this->leaving.load(std::memory_order_relaxed) || this->SaidDraining(aNow);
+}
+
+bool
+LeafHealth::SaidDraining(TimePoint aNow) const
+{
+  return this->drainingUntil.load(std::memory_order_relaxed) > Ticks(aNow);
+}
+
+LeafObservation
+LeafHealth::Observe(TimePoint aNow) const
+{
+  LeafObservation observation;
+  observation.inFlight = this->InFlight();
+  observation.limit = this->Limit();
+  observation.latency = Duration(this->latency.load(std::memory_order_relaxed));
+  observation.draining = this->Draining(aNow);
+  observation.excluded = this->Excluded();
+  observation.versions = this->Versions();
+  return observation;
 }
 
 bool
@@ -252,4 +270,36 @@
   }
 }
 
+std::set<std::string>
+HealthMap::DrainingServers(TimePoint aNow) const
+{
+  const std::lock_guard<std::mutex> guard(this->mutex);
+  std::set<std::string> servers;
+  for (const auto& service : this->services) {
+    for (const auto& leaf : service.second.leafs) {
+      if (leaf.second->SaidDraining(aNow)) {
+        servers.insert(leaf.second->Server());
+      }
+    }
+  }
+  return servers;
+}
+
+std::vector<LeafObservation>
+HealthMap::Observe(const std::string& aService, TimePoint aNow) const
+{
+  const std::lock_guard<std::mutex> guard(this->mutex);
+  std::vector<LeafObservation> observations;
+  const auto service = this->services.find(aService);
+  if (service == this->services.end()) {
+    return observations;
+  }
+  for (const auto& leaf : service->second.leafs) {
+    LeafObservation observation = leaf.second->Observe(aNow);
+    observation.leaf = leaf.first.substr(0, leaf.first.find('|'));
+    observations.push_back(std::move(observation));
+  }
+  return observations;
+}
+
 } // namespace yp
--- a/src/query/internal/leafhealth.h
+++ b/src/query/internal/leafhealth.h
@@ -4,6 +4,7 @@
 #include "query/ileaftransport.h"
 #include "query/internal/concurrencylimit.h"
 #include "query/internal/latencytracker.h"
+#include "query/query.h"
 #include <map>
 #include <mutex>
 #include <set>
@@ -38,6 +39,13 @@
 
   /// \return whether new work must not go to it
   bool Draining(TimePoint aNow) const;
+
+  /// \return whether the leaf itself said that it is leaving
+  bool SaidDraining(TimePoint aNow) const;
+
+  /// \return the state for operators, without the leaf's name
+  LeafObservation Observe(TimePoint aNow) const;
+
   bool Excluded() const { return this->excluded.load(std::memory_order_relaxed); }
 
   /// \return whether it is excluded and its backoff has passed, and no other probe is in flight
@@ -108,6 +116,12 @@
 
   void SetLeavingServers(const std::set<std::string>& aServers);
 
+  /// \return the servers whose leafs said that they are leaving
+  std::set<std::string> DrainingServers(TimePoint aNow) const;
+
+  /// \return the records of a service for operators
+  std::vector<LeafObservation> Observe(const std::string& aService, TimePoint aNow) const;
+
 private:
   struct Entry
   {
@@ -116,7 +130,7 @@
   };
 
   const std::uint32_t slotsFactor;
-  std::mutex mutex;
+  mutable std::mutex mutex;
   std::map<std::string, Entry> services;
   std::set<std::string> leavingServers;
 };
--- a/src/query/internal/querynode.h
+++ b/src/query/internal/querynode.h
@@ -24,6 +24,16 @@
     this->health.SetLeavingServers(aServers);
   }
 
+  std::set<std::string> DrainingServers(TimePoint aNow) const override
+  {
+    return this->health.DrainingServers(aNow);
+  }
+
+  std::vector<LeafObservation> Observe(const std::string& aService, TimePoint aNow) const override
+  {
+    return this->health.Observe(aService, aNow);
+  }
+
   const QueryStats& Stats() const override { return this->stats; }
 
   /// \return whether an extra attempt may be sent; takes it from the budget
--- a/src/query/query.h
+++ b/src/query/query.h
@@ -11,6 +11,8 @@
 #include <functional>
 #include <memory>
 #include <set>
+#include <string>
+#include <vector>
 
 namespace yp {
 
@@ -50,6 +52,18 @@
   Duration ramp = std::chrono::seconds(10); ///< time over which a cold leaf gets its full share
 };
 
+/// What this node saw of one leaf, for operators.
+struct LeafObservation
+{
+  std::string leaf;
+  std::uint32_t inFlight = 0;
+  std::uint32_t limit = 0; ///< requests in flight that this node allows itself at the leaf
+  Duration latency{ 0 };   ///< moving average; 0 without samples
+  bool draining = false;
+  bool excluded = false;
+  std::vector<IndexVersion> versions; ///< servable, as of the last reply; newest first
+};
+
 /// State that the request threads of a node share: leaf health, budget, limits and counters. Thread-safe.
 class IQueryNode
 {
@@ -59,6 +73,12 @@
   /// Names the backend servers that are leaving; their leafs get no new work from now on.
   virtual void SetLeavingServers(const std::set<std::string>& aServers) = 0;
 
+  /// \return the backend servers that said in their replies to this node that they are leaving
+  virtual std::set<std::string> DrainingServers(TimePoint aNow) const = 0;
+
+  /// \return what this node saw of the leafs of a service that it has met
+  virtual std::vector<LeafObservation> Observe(const std::string& aService, TimePoint aNow) const = 0;
+
   virtual const QueryStats& Stats() const = 0;
 };
 
