Let the load generator log requests and check the answers that it sees

Cause: the result told neither which requests were cut off, nor whether answers were consistent, nor the id of each non-idempotent request, so that experiments could not compare callers' view with the backends' execution logs. Conclusion: the experiment driver can compare both sides.

--- a/src/load/internal/loadresult.cpp
+++ b/src/load/internal/loadresult.cpp
@@ -101,6 +101,7 @@
 {
   return Json{ { "offered", this->offered },
                { "resent", this->resent },
+               { "cut_off", this->cutOff },
                { "address_answers", this->addressAnswers },
                { "address_failures", this->addressFailures },
                { "outcomes", this->outcomes },
--- a/src/load/internal/loadresult.h
+++ b/src/load/internal/loadresult.h
@@ -44,6 +44,7 @@
 
   std::uint64_t offered = 0;
   std::uint64_t resent = 0;
+  std::uint64_t cutOff = 0; ///< attempts whose connection closed after the request was sent, without a reply
   std::uint64_t addressAnswers = 0;
   std::uint64_t addressFailures = 0;
 
--- a/src/load/internal/loadrunner.cpp
+++ b/src/load/internal/loadrunner.cpp
@@ -1,7 +1,9 @@
+#include "answerchecker.h"
 #include "load/load.h"
 #include "loadplan.h"
 #include "loadresult.h"
 #include <algorithm>
+#include <fstream>
 #include <nlohmann/json.hpp>
 
 namespace yp {
@@ -34,6 +36,7 @@
   TimePoint intended;
   std::string requestId; ///< kept over all attempts of a non-idempotent request
   std::uint32_t number = 0;
+  std::vector<std::string> told; ///< outcomes of all replies, in order
 };
 
 using AttemptPtr = std::shared_ptr<Attempt>;
@@ -62,6 +65,9 @@
     , plan(this->settings)
     , callers(aSettings.callers)
   {
+    if (!aSettings.requestLog.empty()) {
+      this->requestLog.open(aSettings.requestLog);
+    }
   }
 
   void Start(std::function<void(Json)> aOnDone) override
@@ -194,6 +200,8 @@
     }
     Json body = Json::parse(aAttempt->plan.body);
     body["request_id"] = aAttempt->requestId;
+    // The backend stand-ins log this member of the body with each execution.
+    body["body"]["request_id"] = aAttempt->requestId;
     this->Post(aAttempt, target, "/v1/requests", body.dump(), &LoadRunner::OnReply);
   }
 
@@ -215,24 +223,30 @@
     request.headers = { { "Content-Type", "application/json" },
                         { "Yp-Deadline-Ms", std::to_string(left.count()) } };
     request.body = std::move(aBody);
-    this->client->Send(aTarget,
-                       std::move(request),
-                       deadline + kReplyGrace,
-                       [this, aAttempt, aHandler](IHttpClient::Reply aReply) {
-                         if (const Error* error = std::get_if<Error>(&aReply)) {
-                           this->OnFailure(aAttempt, *error);
-                           return;
-                         }
-                         (this->*aHandler)(aAttempt, std::get<HttpResponse>(aReply));
-                       });
+    TimePoint limit = deadline + kReplyGrace;
+    if (this->settings.attemptTimeout.count() > 0) {
+      limit = std::min<TimePoint>(limit, Now() + this->settings.attemptTimeout);
+    }
+    this->client->Send(
+      aTarget, std::move(request), limit, [this, aAttempt, aHandler](IHttpClient::Reply aReply) {
+        if (const Error* error = std::get_if<Error>(&aReply)) {
+          this->OnFailure(aAttempt, *error);
+          return;
+        }
+        (this->*aHandler)(aAttempt, std::get<HttpResponse>(aReply));
+      });
   }
 
   /// Another address is tried after a connection failure. That is safe for lookups, and for non-idempotent
   /// requests because they are sent again under the same id.
   void OnFailure(const AttemptPtr& aAttempt, const Error& aError)
   {
+    if (aError.code == ErrorCode::kConnection && aError.step == "http.response") {
+      ++this->result.cutOff;
+    }
+    const bool impatient = this->settings.attemptTimeout.count() > 0 && aError.code == ErrorCode::kTimeout;
     const bool retry = aError.code == ErrorCode::kUnavailable || aError.code == ErrorCode::kConnection ||
-                       aError.step == "http.connect";
+                       aError.step == "http.connect" || impatient;
     if (!retry || ++aAttempt->number >= this->settings.maxAttempts) {
       this->End(*aAttempt, "no_reply", std::string(ToString(aError.code)) + ":" + aError.step);
       return;
@@ -258,6 +272,17 @@
     const Json reply = ParseReply(aResponse.body);
     const std::string outcome = TextMember(reply, "outcome");
     const Json coverage = reply.value("coverage", Json());
+    aAttempt->told.push_back(outcome);
+    const bool again = outcome == "unknown" && this->settings.resendUnknown && !aAttempt->requestId.empty();
+    if (again && aAttempt->number + 1 < this->settings.maxAttempts) {
+      ++aAttempt->number;
+      ++this->result.resent;
+      this->Send(aAttempt);
+      return;
+    }
+    if (outcome == "answered" && !aAttempt->plan.execute) {
+      this->checker.Check(aAttempt->plan.body, reply);
+    }
     if (outcome == "answered" && coverage.is_object() && !aAttempt->plan.execute) {
       const Json fraction = coverage.value("fraction", Json());
       const Json complete = coverage.value("complete", Json());
@@ -274,10 +299,30 @@
   void End(const Attempt& aAttempt, const std::string& aOutcome, const std::string& aReason)
   {
     this->result.Add(aOutcome, aReason, Now() - aAttempt.intended);
+    this->LogRequest(aAttempt, aOutcome, aReason);
     --this->inFlight;
     this->FinishIfIdle();
   }
 
+  void LogRequest(const Attempt& aAttempt, const std::string& aOutcome, const std::string& aReason)
+  {
+    if (!this->requestLog.is_open()) {
+      return;
+    }
+    const auto milliseconds = [](Duration aTime) {
+      return std::chrono::duration<double, std::milli>(aTime).count();
+    };
+    const Json line{ { "kind", aAttempt.plan.execute ? "execute" : "lookup" },
+                     { "id", aAttempt.requestId },
+                     { "at_ms", milliseconds(aAttempt.plan.offset) },
+                     { "latency_ms", milliseconds(Now() - aAttempt.intended) },
+                     { "attempts", aAttempt.number + 1 },
+                     { "told", aAttempt.told },
+                     { "outcome", aOutcome },
+                     { "reason", aReason } };
+    this->requestLog << line.dump() << "\n";
+  }
+
   void FinishIfIdle()
   {
     if (!this->stopping || this->inFlight != 0 || !this->onDone) {
@@ -285,7 +330,9 @@
     }
     const std::function<void(Json)> done = std::move(this->onDone);
     this->onDone = nullptr;
+    this->requestLog.flush();
     Json report = this->result.ToJson();
+    report["answers"] = this->checker.ToJson();
     report["settings"] = Json{ { "caller", this->settings.caller },
                                { "service", this->settings.service },
                                { "rate", this->settings.rate },
@@ -303,6 +350,8 @@
   LoadPlan plan;
   std::vector<CallerState> callers;
   LoadResult result;
+  AnswerChecker checker;
+  std::ofstream requestLog;
   std::function<void(Json)> onDone;
   TimePoint begin = Now();
   PlannedRequest next;
--- a/src/load/load.h
+++ b/src/load/load.h
@@ -30,6 +30,9 @@
   std::uint32_t callers = 16;    ///< simulated callers, each with an address answer of its own
   std::uint32_t maxAttempts = 3; ///< of a request, at different addresses
   std::size_t maxInFlight = 5000;
+  std::chrono::milliseconds attemptTimeout{ 0 }; ///< then another address is tried; 0 waits for the deadline
+  bool resendUnknown = false; ///< whether a request told unknown is sent again under the same id
+  std::string requestLog;     ///< file for one JSON line a request; empty for none
 };
 
 /// Offers the load until its duration has passed and all requests have ended.
--- a/src/load/main.cpp
+++ b/src/load/main.cpp
@@ -40,6 +40,11 @@
   add("callers", "simulated callers", value<std::uint32_t>()->default_value("16"));
   add("max-attempts", "attempts of a request", value<std::uint32_t>()->default_value("3"));
   add("max-in-flight", "most requests in flight", value<std::uint32_t>()->default_value("5000"));
+  add("attempt-timeout-ms",
+      "time after which another address is tried; 0 waits for the deadline",
+      value<std::uint32_t>()->default_value("0"));
+  add("resend-unknown", "send a request that was told unknown again under the same id");
+  add("request-log", "file for one JSON line a request", value<std::string>()->default_value(""));
   add("output", "file for the result; standard output when absent", value<std::string>());
   add("help", "show this text");
   return parser;
@@ -98,6 +103,9 @@
   settings.callers = aGiven["callers"].as<std::uint32_t>();
   settings.maxAttempts = aGiven["max-attempts"].as<std::uint32_t>();
   settings.maxInFlight = aGiven["max-in-flight"].as<std::uint32_t>();
+  settings.attemptTimeout = std::chrono::milliseconds(aGiven["attempt-timeout-ms"].as<std::uint32_t>());
+  settings.resendUnknown = aGiven.count("resend-unknown") != 0;
+  settings.requestLog = aGiven["request-log"].as<std::string>();
   const bool positive = settings.rate > 0 && settings.maxTerms > 0 && settings.callers > 0 &&
                         settings.maxAttempts > 0 && !settings.vocabulary.empty();
   if (!positive) {
--- a/src/load/tests/load_tests.cpp
+++ b/src/load/tests/load_tests.cpp
@@ -1,4 +1,5 @@
 #include "framework/network/tests/servedcontext.h"
+#include "load/internal/answerchecker.h"
 #include "load/internal/loadplan.h"
 #include "load/internal/loadresult.h"
 #include <catch2/catch.hpp>
@@ -60,6 +61,28 @@
   }
 }
 
+// Guards against hits of two index versions in one answer, and differing answers at one version, that pass
+// unnoticed; and against a repartition or a new version that is taken for an error.
+TEST_CASE("the checker finds mixed and differing answers")
+{
+  const auto answer = [](int aSnapshot, int aVersion, double aScore, int aShard) {
+    const Json hit{ { "document", "d" },
+                    { "score", aScore },
+                    { "fields", { { "version", aVersion }, { "shard", aShard } } } };
+    return Json{ { "hits", Json::array({ hit }) },
+                 { "snapshot", { { "index_version", aSnapshot } } },
+                 { "coverage", { { "complete", true } } } };
+  };
+  AnswerChecker checker;
+  checker.Check("q", answer(1, 1, 2.0, 0));
+  checker.Check("q", answer(1, 1, 2.0, 5));
+  checker.Check("q", answer(2, 2, 3.0, 0));
+  CHECK(checker.ToJson() == Json{ { "checked", 3 }, { "repeats", 1 }, { "mixed", 0 }, { "differing", 0 } });
+  checker.Check("q", answer(1, 1, 2.5, 0));
+  checker.Check("p", answer(2, 1, 2.0, 0));
+  CHECK(checker.ToJson() == Json{ { "checked", 5 }, { "repeats", 2 }, { "mixed", 1 }, { "differing", 1 } });
+}
+
 // Guards against lost requests, a changed id on a resend, and latencies that leave out the wait for an
 // address that does not answer.
 TEST_CASE("requests go to another address after a connection failure, under the same id")
@@ -69,6 +92,7 @@
   std::unique_ptr<ILoadRunner> runner;
   std::set<std::string> ids;
   int issued = 0;
+  int idsInBody = 0;
   Endpoint live;
   const auto answer = [&](const HttpRequest& aRequest) {
     if (aRequest.target == "/v1/addresses?caller=kiosk_screen") {
@@ -80,7 +104,9 @@
       return JsonResponse(200, Json{ { "ids", { "id" + std::to_string(++issued) } } });
     }
     if (aRequest.target == "/v1/requests") {
-      ids.insert(Json::parse(aRequest.body)["request_id"].get<std::string>());
+      const Json body = Json::parse(aRequest.body);
+      ids.insert(body["request_id"].get<std::string>());
+      idsInBody += body["body"]["request_id"] == body["request_id"] ? 1 : 0;
       return JsonResponse(504, Json{ { "outcome", "unknown" }, { "reason", "connection_lost" } });
     }
     const Json coverage{ { "fraction", 0.75 }, { "complete", false } };
@@ -116,6 +142,7 @@
   CHECK(report["outcomes"]["unknown"] == ids.size());
   CHECK(report["reasons"]["unknown/connection_lost"] == ids.size());
   CHECK(ids.size() == static_cast<std::size_t>(issued));
+  CHECK(idsInBody == issued);
   CHECK(report["address_answers"].get<int>() > 16);
   CHECK(report["resent"].get<std::uint64_t>() >= offered);
 }
