--- a/experiments/driver/measure.py
+++ b/experiments/driver/measure.py
@@ -90,6 +90,13 @@
     return [buckets[index] for index in sorted(buckets)]
 
 
+def answered_outside(requests: Iterable[dict], windows: list[list[float]]) -> dict[str, float]:
+    """Lookups without an answer that were sent while every shard had a replica left."""
+    lost = [request for request in requests if request["outcome"] != "answered"
+            and not any(first <= request["at_ms"] / 1000 < last for first, last in windows)]
+    return {"errors_with_replica": len(lost)}
+
+
 def of_phases(rows: list[dict], slow_from_s: float, slow_to_s: float, bucket_s: float = BUCKET_S) -> dict[str, float]:
     """Answers a second before, during and after a slow phase, and the time until 90 % of the first is reached."""
     def rate(first: float, last: float) -> float:
--- a/experiments/driver/runner.py
+++ b/experiments/driver/runner.py
@@ -124,6 +124,8 @@
         executed = [line["request"] for server in deployment.files.servers
                     for line in measure.read_lines(pathlib.Path(server.execution_log))]
         figures |= measure.compare_executions(requests, executed)
+    if "no_replica" in experiment.phases:
+        figures |= measure.answered_outside(requests, experiment.phases["no_replica"])
     if "slow_from_s" in experiment.phases:
         figures |= measure.of_phases(measure.timeline(requests), **experiment.phases)
     return figures
