Keep samples of failed coverage checks

Cause: a census lookup without an answer left no trace of its reason. Changed: up to five replies are kept in the report.

--- a/experiments/driver/census.py
+++ b/experiments/driver/census.py
@@ -90,3 +90,5 @@
             check(answer, self._files.weights, self._spec["service"], self._documents, self.tally)
         else:
             self.tally.failed += 1
+            if len(self.tally.samples) < MAX_SAMPLES:
+                self.tally.samples.append(answer)
--- a/experiments/driver/report.py
+++ b/experiments/driver/report.py
@@ -55,7 +55,7 @@
         lines += ["## Notes", "", experiment.notes, ""]
     samples = [sample for run in data["runs"] for sample in run.get("samples", [])]
     if samples:
-        lines += ["## Samples of wrong answers", "", "```", *[json.dumps(sample) for sample in samples[:5]], "```", ""]
+        lines += ["## Samples of wrong or failed checks", "", "```", *[json.dumps(sample) for sample in samples[:5]], "```", ""]
     return "\n".join(lines)
 
 
