--- a/src/load/internal/loadrunner.cpp
+++ b/src/load/internal/loadrunner.cpp
@@ -37,6 +37,8 @@
   std::string requestId; ///< kept over all attempts of a non-idempotent request
   std::uint32_t number = 0;
   std::vector<std::string> told; ///< outcomes of all replies, in order
+  std::string detail;            ///< of the last reply
+  Endpoint target;               ///< of the last attempt
 };
 
 using AttemptPtr = std::shared_ptr<Attempt>;
@@ -223,6 +225,7 @@
     request.headers = { { "Content-Type", "application/json" },
                         { "Yp-Deadline-Ms", std::to_string(left.count()) } };
     request.body = std::move(aBody);
+    aAttempt->target = aTarget;
     TimePoint limit = deadline + kReplyGrace;
     if (this->settings.attemptTimeout.count() > 0) {
       limit = std::min<TimePoint>(limit, Now() + this->settings.attemptTimeout);
@@ -273,6 +276,7 @@
     const std::string outcome = TextMember(reply, "outcome");
     const Json coverage = reply.value("coverage", Json());
     aAttempt->told.push_back(outcome);
+    aAttempt->detail = TextMember(reply, "detail");
     const bool again = outcome == "unknown" && this->settings.resendUnknown && !aAttempt->requestId.empty();
     if (again && aAttempt->number + 1 < this->settings.maxAttempts) {
       ++aAttempt->number;
@@ -318,8 +322,10 @@
                      { "latency_ms", milliseconds(Now() - aAttempt.intended) },
                      { "attempts", aAttempt.number + 1 },
                      { "told", aAttempt.told },
+                     { "target", ToString(aAttempt.target) },
                      { "outcome", aOutcome },
-                     { "reason", aReason } };
+                     { "reason", aReason },
+                     { "detail", aAttempt.detail } };
     this->requestLog << line.dump() << "\n";
   }
 
