Make file names of variants free of slashes

Cause: the cost experiment's variant '20 lookups/s' gave a path in a folder that does not exist, and the load generator ended with code 2. Changed: other characters than letters and digits are replaced, with a test.

--- a/experiments/driver/runner.py
+++ b/experiments/driver/runner.py
@@ -4,6 +4,7 @@
 import json
 import os
 import pathlib
+import re
 import shutil
 import signal
 import subprocess
@@ -86,10 +87,15 @@
     (deployment.files.folder / "vocabulary.txt").write_text("\n".join(words) + "\n")
 
 
+def file_name(text: str) -> str:
+    """The text with every other character than letters and digits replaced."""
+    return re.sub(r"[^a-z0-9]+", "-", text.lower())
+
+
 def _start_load(experiment: Experiment, variant: Variant, deployment: Deployment, seed: int) -> list[pathlib.Path]:
     bases = []
     for index, load in enumerate(experiment.load):
-        base = deployment.files.folder / f"load-{variant.name.replace(' ', '-')}-{seed}-{index}"
+        base = deployment.files.folder / f"load-{file_name(variant.name)}-{seed}-{index}"
         arguments = _load_arguments(load, variant, deployment, experiment.run_s, seed + index, base)
         deployment.processes.start(f"load-{index}", arguments)
         bases.append(base)
--- a/experiments/driver/tests/test_driver.py
+++ b/experiments/driver/tests/test_driver.py
@@ -4,7 +4,7 @@
 import pathlib
 import unittest
 
-from driver import census, evaluate, layout, measure, report, rest, spec
+from driver import census, evaluate, layout, measure, report, rest, runner, spec
 
 REQUEST = {"kind": "execute", "attempts": 1, "outcome": "answered", "told": ["answered"]}
 
@@ -134,6 +134,10 @@
             self.assertGreaterEqual(fault.at_s, free.get(fault.target, 0.0))
             free[fault.target] = fault.at_s + fault.values["for_s"]
 
+    # Guards against results that cannot be written because a variant's name holds a slash.
+    def test_variant_names_become_file_names(self) -> None:
+        self.assertEqual(runner.file_name("20 lookups/s"), "20-lookups-s")
+
     def test_replicas_lie_in_different_failure_domains(self) -> None:
         service = {"documents": 80}
         rows = layout.leaf_rows("s", service, {"layout": 1, "shards": 8, "replicas": 2}, "127.10.100", 1, ["a", "b"])
