Let the configuration service stand-in go down after a number of reads

A test of "the service is down right after one reader got the ticket" cannot be driven from outside: in a trial with 8 nodes all 8 readers had read the ticket before the mode change arrived. The mode request takes "reads_until_down", and the stand-in changes its mode with that read.

--- a/standins/configservice/configservicestandin.cpp
+++ b/standins/configservice/configservicestandin.cpp
@@ -88,6 +88,7 @@
     ++this->counts.reads;
     if (this->Admit(aRespond)) {
       aRespond(this->Read(*target));
+      this->CountReadUntilDown();
     }
   } else if (route == "POST /admin/publish") {
     aRespond(JsonResponse(200, Json{ { "number", this->Publish(std::move(aRequest.body)) } }));
@@ -195,14 +196,37 @@
   if (!next || !head.is_number_unsigned() || head.get<TicketNumber>() > this->bodies.size()) {
     return BadRequest("unknown mode, or a head above the published one");
   }
+  const Json reads = parsed->value("reads_until_down", Json());
+  if (!reads.is_null() && (!reads.is_number_unsigned() || reads.get<std::uint64_t>() == 0)) {
+    return BadRequest("reads_until_down must be a whole number from 1");
+  }
   this->staleHead = head.get<TicketNumber>();
-  this->mode = *next;
+  this->readsUntilDown.reset();
+  if (!reads.is_null()) {
+    this->readsUntilDown = reads.get<std::uint64_t>();
+  }
+  this->EnterMode(*next);
+  return this->Stats();
+}
+
+void
+ConfigServiceStandin::CountReadUntilDown()
+{
+  if (this->readsUntilDown && --*this->readsUntilDown == 0) {
+    this->readsUntilDown.reset();
+    this->EnterMode(StandinMode::kDown);
+  }
+}
+
+void
+ConfigServiceStandin::EnterMode(StandinMode aMode)
+{
+  this->mode = aMode;
   LogEvent(LogLevel::kInfo, "mode", { { "mode", ToString(this->mode) }, { "head", this->VisibleHead() } });
   if (this->mode == StandinMode::kDown) {
     this->EndWatches();
   }
   this->WakeWaiters();
-  return this->Stats();
 }
 
 HttpResponse
--- a/standins/configservice/configservicestandin.h
+++ b/standins/configservice/configservicestandin.h
@@ -4,6 +4,7 @@
 #include "common/standinprogram.h"
 #include "tickets/tickettypes.h"
 #include <map>
+#include <optional>
 
 namespace yp {
 
@@ -54,6 +55,9 @@
   void Watch(const HttpRequest& aRequest, const HttpTarget& aTarget, HttpRespond aRespond);
   HttpResponse Read(const HttpTarget& aTarget) const;
   HttpResponse ChangeMode(const std::string& aBody);
+  /// Counts an answered read against the number after which the service goes down.
+  void CountReadUntilDown();
+  void EnterMode(StandinMode aMode);
   HttpResponse Stats() const;
   void AnswerWaiter(std::uint64_t aWaiter, HttpResponse aResponse);
   void WakeWaiters();
@@ -65,6 +69,7 @@
   std::vector<std::string> bodies; ///< ticket n is at n - 1
   StandinMode mode = StandinMode::kUp;
   TicketNumber staleHead = 0;
+  std::optional<std::uint64_t> readsUntilDown; ///< unset: the mode changes only on request
   std::map<std::uint64_t, Waiter> waiters;
   std::uint64_t lastWaiter = 0;
   Counts counts;
--- a/standins/tests/standins_tests.cpp
+++ b/standins/tests/standins_tests.cpp
@@ -158,6 +158,20 @@
   CHECK(refused >= 2);
 }
 
+// Guards against a service that lets more readers take a ticket than a test asked for before it goes down.
+TEST_CASE("the configuration service goes down after a number of reads")
+{
+  ServedConfig service;
+  service.Ask("POST", "/admin/publish", "1");
+  CHECK(service.Ask("POST", "/admin/mode", R"({"mode": "up", "reads_until_down": 0})").status == 400);
+  CHECK(service.Ask("POST", "/admin/mode", R"({"mode": "up", "reads_until_down": 2})").status == 200);
+  CHECK(service.Ask("GET", "/v1/tickets?from=1&to=1").status == 200);
+  CHECK(service.Ask("GET", "/v1/tickets?from=1&to=1").status == 200);
+  CHECK(service.Ask("GET", "/v1/tickets?from=1&to=1").status == 503);
+  service.Ask("POST", "/admin/mode", R"({"mode": "up"})");
+  CHECK(service.Ask("GET", "/v1/tickets?from=1&to=1").status == 200);
+}
+
 // Guards against a change that is visible before its lag, and a stale list that changes.
 TEST_CASE("the host list shows changes after its lag")
 {
