Shorten the wait of a cold start while every member is known to be joining

Cause: at a cold start of the whole fleet the host list names other hosts, so each reader waited 10 s for an answer of a ready member although there was none. The rest of the fleet waits for the readers.

Change: the wait for ready members is 3 s while every other member has been heard, is reachable and is joining, and no number above the service's head is known. A member that is joining has never served in its incarnation, so there is no state in force that the fleet could revert. A listed host that was not heard, or one that is ready, leaving or gone, keeps the wait at 10 s.

Tests: the first new test fails without the change; the second fails when the short wait is taken without regard to hosts that were not heard (both tried).

--- a/src/overlay/internal/overlaynode.cpp
+++ b/src/overlay/internal/overlaynode.cpp
@@ -237,7 +237,8 @@
   if (this->readiness.Ready()) {
     return;
   }
-  this->readiness.Evaluate(this->options.clock.Now(), this->options.store.InForce(), this->OthersListed());
+  this->readiness.Evaluate(
+    this->options.clock.Now(), this->options.store.InForce(), this->options.store.Highest(), this->Others());
   if (!this->readiness.Ready()) {
     return;
   }
@@ -919,10 +920,21 @@
   }
 }
 
-bool
-OverlayNode::OthersListed() const
+OtherHosts
+OverlayNode::Others() const
 {
-  return this->listing.NamesOther(this->options.members.Own().host);
+  const std::string& self = this->options.members.Own().host;
+  if (!this->listing.NamesOther(self)) {
+    return OtherHosts::kNone;
+  }
+  const Ref<const MemberView> members = this->options.members.View();
+  const bool starting =
+    std::all_of(members->members.begin(), members->members.end(), [&self](const MemberStatus& aMember) {
+      const bool announced = aMember.record.incarnation != Incarnation{};
+      const bool joining = announced && aMember.record.state == MemberState::kJoining && !aMember.unreachable;
+      return aMember.record.host == self || joining;
+    });
+  return starting ? OtherHosts::kStarting : OtherHosts::kUnknown;
 }
 
 std::optional<Duration>
--- a/src/overlay/internal/overlaynode.h
+++ b/src/overlay/internal/overlaynode.h
@@ -104,7 +104,7 @@
   void TickReader();
   void PollHostList();
   void TakeListing(bool aNewer);
-  bool OthersListed() const;
+  OtherHosts Others() const;
   std::optional<Duration> FreshnessAge() const;
   bool ViewConfirmed() const;
 
--- a/src/overlay/internal/readiness.cpp
+++ b/src/overlay/internal/readiness.cpp
@@ -79,8 +79,17 @@
   this->reason.clear();
 }
 
+seconds
+Readiness::ServiceWait(TicketNumber aHighest, OtherHosts aOthers) const
+{
+  // When no member has served, none has a state that could revert. A number above the service's head is a
+  // sign that the service is stale; then a ready peer gets the longer time to answer.
+  const bool noneServed = aOthers == OtherHosts::kStarting && aHighest <= *this->serviceHead;
+  return noneServed || aOthers == OtherHosts::kNone ? kServiceAloneWait : kServiceWithOthersWait;
+}
+
 void
-Readiness::Evaluate(TimePoint aNow, TicketNumber aInForce, bool aOthersListed)
+Readiness::Evaluate(TimePoint aNow, TicketNumber aInForce, TicketNumber aHighest, OtherHosts aOthers)
 {
   if (this->ready) {
     return;
@@ -99,8 +108,7 @@
     this->Wait(this->started ? "paused; no exchange since" : "neither a ready peer nor the service answers");
     return;
   }
-  const seconds wait = aOthersListed ? kServiceWithOthersWait : kServiceAloneWait;
-  if (!this->started && aNow - this->since < wait) {
+  if (!this->started && aNow - this->since < this->ServiceWait(aHighest, aOthers)) {
     this->Wait("waiting for ready peers");
     return;
   }
--- a/src/overlay/internal/readiness.h
+++ b/src/overlay/internal/readiness.h
@@ -7,6 +7,14 @@
 
 namespace yp {
 
+/// What a starting node knows of the other hosts.
+enum class OtherHosts
+{
+  kNone,     ///< the host list names no other live host
+  kStarting, ///< every other member was heard, and none has served in its incarnation
+  kUnknown   ///< some member may be ready
+};
+
 /// Decides whether a node may serve: after a start, and after each pause.
 class Readiness
 {
@@ -29,8 +37,8 @@
   void OnServiceContact(TicketNumber aHead, TimePoint aStarted);
 
   /// Decides anew.
-  /// \param aOthersListed whether the host list names other live hosts
-  void Evaluate(TimePoint aNow, TicketNumber aInForce, bool aOthersListed);
+  /// \param aHighest highest ticket number that this node has heard of
+  void Evaluate(TimePoint aNow, TicketNumber aInForce, TicketNumber aHighest, OtherHosts aOthers);
 
   bool Ready() const { return this->ready; }
 
@@ -38,6 +46,7 @@
   const std::string& Reason() const { return this->reason; }
 
 private:
+  std::chrono::seconds ServiceWait(TicketNumber aHighest, OtherHosts aOthers) const;
   void Wait(std::string aReason);
   void CatchUp(TicketNumber aInForce, TicketNumber aTarget);
 
--- a/src/overlay/tests/fakeworld.h
+++ b/src/overlay/tests/fakeworld.h
@@ -199,6 +199,12 @@
       this->waiters.clear();
     }
   }
+  /// Makes the service answer with an older head than the published one.
+  void SetStaleHead(TicketNumber aHead)
+  {
+    this->SetServiceMode(ServiceMode::kStale);
+    this->staleHead = aHead;
+  }
   /// Sets which nodes need which bodies.
   void SetInterest(std::function<bool(NodeIndex, const TicketHeader&)> aInterest)
   {
--- a/src/overlay/tests/overlay_tests.cpp
+++ b/src/overlay/tests/overlay_tests.cpp
@@ -133,6 +133,50 @@
   REQUIRE(world.LargestFrame() <= 1024 * 1024 + 64 * 1024);
 }
 
+// Guards against a cold start of the whole fleet that waits for ready peers although there can be none.
+TEST_CASE("a fleet that starts together is ready within 8 s")
+{
+  FakeWorld world(21, { 2, 2, 6 });
+  world.Publish();
+  world.StartAll();
+  REQUIRE(world.RunUntil(8s, [&] { return world.AllReady(); }));
+  REQUIRE(world.Converged());
+}
+
+// Guards against the short wait of a cold start taking the head of a stale service while a host that was not
+// heard still serves a newer state.
+TEST_CASE("starting nodes wait for a listed host that was not heard")
+{
+  FakeWorld world(22, { 2, 2, 4 });
+  StartReady(world);
+  const std::size_t silent = 5;
+  world.Publish();
+  REQUIRE(world.RunUntil(kConvergence, [&] { return world.Converged(); }));
+  world.Partition([&](const MemberRecord& aRecord) { return aRecord.host == world.Host(silent).host; });
+  const TicketNumber newest = world.Head();
+  world.SetStaleHead(newest - 1);
+  for (std::size_t i = 0; i < world.Size(); ++i) {
+    if (i != silent) {
+      world.Kill(i);
+      world.Start(i);
+    }
+  }
+  const auto anyReady = [&] {
+    for (std::size_t i = 0; i < world.Size(); ++i) {
+      if (i != silent && world.Overlay(i).Ready()) {
+        return true;
+      }
+    }
+    return false;
+  };
+  REQUIRE_FALSE(world.RunUntil(7s, anyReady));
+  world.HealCuts();
+  REQUIRE(world.RunUntil(20s, [&] { return world.AllReady(); }));
+  for (std::size_t i = 0; i < world.Size(); ++i) {
+    REQUIRE(world.Store(i).InForce() == newest);
+  }
+}
+
 // Guards against one node that hears but cannot speak, or cannot be reached, declaring others dead.
 TEST_CASE("one node with broken links spreads no false deaths")
 {
