--- a/experiments/fleet/__main__.py
+++ b/experiments/fleet/__main__.py
@@ -5,7 +5,9 @@
 import sys
 from typing import List
 
+from . import deployment
 from . import report as reports
+from .processes import Fleet
 
 MEASUREMENTS = {
     "in-force": "in_force",
@@ -25,6 +27,8 @@
     parser.add_argument("name", choices=sorted(MEASUREMENTS))
     parser.add_argument("--nodes", type=node_counts, default=[8, 50, 200], help="fleet sizes, for example 8,50,200")
     parser.add_argument("--seed", type=int, default=1, help="seed of the choice of nodes and times")
+    parser.add_argument("--pool", type=int, default=0, choices=range(deployment.POOLS),
+                        help="addresses to use; measurements that run at once need different ones")
     parser.add_argument("--quick", action="store_true", help="fewer tickets and shorter windows")
     return parser.parse_args()
 
@@ -32,6 +36,7 @@
 def main() -> int:
     arguments = parse_arguments()
     report = reports.Report(arguments.name, " ".join(sys.argv[2:]))
+    Fleet.pool = arguments.pool
     module = importlib.import_module(f"{__package__}.{MEASUREMENTS[arguments.name]}")
     module.measure(report, arguments.nodes, arguments.seed, arguments.quick)
     reports.write(report)
