Let a fleet measurement continue an earlier report with another size

One run of all sizes takes longer than a few minutes, and a run that ended early lost the sizes it had finished (in-force, 8 and 50 nodes).

--- a/experiments/fleet/in_force.py
+++ b/experiments/fleet/in_force.py
@@ -131,6 +131,10 @@
 def measure(report: Report, sizes: List[int], seed: int, quick: bool) -> None:
     for size in sizes:
         measure_size(report, size, seed, quick)
+
+
+def conclude(report: Report) -> None:
     report.notes.append(f"With more than {BIG_FLEET} nodes only {LARGE_TICKETS_BIG_FLEET} tickets have 1 MB, "
                         "because each node keeps the bodies of the last 256 tickets.")
-    report.notes.append("Times are read from the log lines of the nodes; a node looks at its ticket store every 100 ms.")
+    report.notes.append("Times are read from the nodes' log lines; a node looks at its ticket store every 100 ms.")
+    report.rows.sort(key=lambda row: row["nodes"])
--- a/experiments/fleet/webclient.py
+++ b/experiments/fleet/webclient.py
@@ -5,7 +5,9 @@
 from typing import Any, Optional, Tuple
 
 
-def call(method: str, endpoint: str, path: str, body: Optional[bytes] = None, timeout: float = 10.0) -> Tuple[int, bytes]:
+def call(
+    method: str, endpoint: str, path: str, body: Optional[bytes] = None, timeout: float = 10.0
+) -> Tuple[int, bytes]:
     address, port = endpoint.split(":")
     connection = http.client.HTTPConnection(address, int(port), timeout=timeout)
     try:
