End a daemon with exit code 0 when stop signals repeat or responses are pending

A daemon could end with a non-zero exit code after it had logged event=stopped. There were two causes:

- The signal set is destroyed when Run returns, which restores the default action of SIGTERM.
A second SIGTERM during the destruction then ended the process by the signal (-15). scripts/demo sends SIGTERM to all hosts and then again to each, so that it hit a host that was ending.
All threads now end inside Run, and SIGTERM and SIGINT are blocked in the remaining thread before the signal set is destroyed.
- Functions queued for the control thread and pending calls to peers hold responses of callers and administrators.
A released response posts to the event loop of its connection, but the loops of the admin interface and of the request threads were destroyed before the control plane (heap-use-after-free in Responder::Post).
The servers of the callers now close first, while engine and pools exist, then the control plane goes, then the loops.

Ruled out: threads still running at destruction; the pools' connections, which end with their event loops.

--- a/src/app/internal/daemon.cpp
+++ b/src/app/internal/daemon.cpp
@@ -2,6 +2,7 @@
 #include <algorithm>
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
+#include <pthread.h>
 #include <sys/resource.h>
 
 namespace yp {
@@ -23,22 +24,47 @@
          std::chrono::microseconds(usage.ru_utime.tv_usec + usage.ru_stime.tv_usec);
 }
 
+/// Blocks the stop signals in the calling thread until the process exits. When a signal set is destroyed, the
+/// default action returns, and a repeated stop request would end the process by a signal.
+void
+BlockStopSignals()
+{
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+}
+
 } // namespace
 
 Daemon::Daemon(DaemonSettings aSettings)
   : node(std::move(aSettings))
-  , control(this->node)
+  , control(std::make_unique<ControlPlane>(this->node))
 {
 }
 
 Daemon::~Daemon()
+{
+  this->StopThreads();
+  // Closing a caller's connection abandons its lookup, which needs the engine and the pools.
+  for (const auto& thread : this->threads) {
+    thread->CloseCallers();
+  }
+  // Calls to peers and functions queued for the control thread hold responses to callers and administrators.
+  // A response that is released posts to the event loop of its connection, so these loops end later.
+  this->control.reset();
+}
+
+void
+Daemon::StopThreads()
 {
   // The control thread uses the pools and the request threads, and these use the forwarder, so all threads
-  // end first.
+  // end before any of these is destroyed.
   if (this->admin) {
     this->admin->Stop();
   }
-  this->control.Stop();
+  this->control->Stop();
   for (const auto& thread : this->threads) {
     thread->Stop();
   }
@@ -47,7 +73,7 @@
 Result<void>
 Daemon::Open()
 {
-  BOOST_LEAF_CHECK(this->control.Open());
+  BOOST_LEAF_CHECK(this->control->Open());
   std::vector<boost::asio::io_context*> contexts;
   for (std::size_t i = 0; i < this->node.settings.requestThreads; ++i) {
     this->threads.push_back(std::make_unique<RequestThread>(this->node));
@@ -58,21 +84,21 @@
   poolSettings.seed = this->node.controlRandom.Next();
   this->pools = MakeLeafPools(contexts, this->node.clock, poolSettings);
   for (std::size_t i = 0; i < this->threads.size(); ++i) {
-    BOOST_LEAF_CHECK(this->threads[i]->Open(this->pools->Transport(i), this->control.Forwarder()));
+    BOOST_LEAF_CHECK(this->threads[i]->Open(this->pools->Transport(i), this->control->Forwarder()));
   }
-  this->control.Attach(
+  this->control->Attach(
     *this->pools, [this] { return this->Utilisation(); }, *this);
   ServeForwarded(
-    this->control.Calls(),
+    this->control->Calls(),
     this->node.clock,
     this->node.entryStats,
-    [this](std::function<void()> aFunction) { this->control.Post(std::move(aFunction)); },
+    [this](std::function<void()> aFunction) { this->control->Post(std::move(aFunction)); },
     [this] {
       RequestThread& thread = *this->threads[this->nextThread++ % this->threads.size()];
       return std::make_pair(&thread.Service(), thread.Post());
     });
-  this->metrics = std::make_unique<MetricsCollector>(this->node, this->control, *this->pools);
-  this->admin = std::make_unique<AdminApi>(this->node, this->control, *this->metrics);
+  this->metrics = std::make_unique<MetricsCollector>(this->node, *this->control, *this->pools);
+  this->admin = std::make_unique<AdminApi>(this->node, *this->control, *this->metrics);
   return this->admin->Open();
 }
 
@@ -80,11 +106,11 @@
 Daemon::Run()
 {
   BOOST_LEAF_CHECK(this->Open());
-  boost::asio::signal_set signals(this->control.Context(), SIGTERM, SIGINT);
+  boost::asio::signal_set signals(this->control->Context(), SIGTERM, SIGINT);
   signals.async_wait([this](const boost::system::error_code& aError, int aSignal) {
     if (!aError) {
       LogEvent(LogLevel::kInfo, "stop_requested", { { "signal", aSignal } });
-      this->control.Life().StopRequested();
+      this->control->Life().StopRequested();
     }
   });
   LogEvent(LogLevel::kInfo,
@@ -99,18 +125,20 @@
     thread->Start();
   }
   this->admin->Start();
-  this->control.Start();
-  this->control.Wait();
+  this->control->Start();
+  this->control->Wait();
   LogEvent(LogLevel::kInfo, "stopped", { { "in_flight", this->InFlight() } });
+  this->StopThreads();
+  BlockStopSignals();
   return {};
 }
 
 void
 Daemon::AnnounceLeaving()
 {
-  this->control.Overlay().AnnounceState(MemberState::kLeaving);
-  this->control.Timers().At(this->node.clock.Now() + this->node.settings.leaveTime,
-                            [this] { this->control.Life().LeaveTimeOver(); });
+  this->control->Overlay().AnnounceState(MemberState::kLeaving);
+  this->control->Timers().At(this->node.clock.Now() + this->node.settings.leaveTime,
+                             [this] { this->control->Life().LeaveTimeOver(); });
 }
 
 void
@@ -118,9 +146,9 @@
 {
   this->drainEnd = this->node.clock.Now() + this->node.settings.drainLimit;
   for (const auto& thread : this->threads) {
-    thread->Drain(kIdleGrace, [this] { this->control.Post([this] { ++this->idleThreads; }); });
+    thread->Drain(kIdleGrace, [this] { this->control->Post([this] { ++this->idleThreads; }); });
   }
-  this->control.Timers().At(this->node.clock.Now() + kDrainCheck, [this] { this->CheckDrained(); });
+  this->control->Timers().At(this->node.clock.Now() + kDrainCheck, [this] { this->CheckDrained(); });
 }
 
 void
@@ -128,21 +156,21 @@
 {
   const bool idle = this->idleThreads == this->threads.size() && this->InFlight() == 0;
   if (!idle && this->node.clock.Now() < this->drainEnd) {
-    this->control.Timers().At(this->node.clock.Now() + kDrainCheck, [this] { this->CheckDrained(); });
+    this->control->Timers().At(this->node.clock.Now() + kDrainCheck, [this] { this->CheckDrained(); });
     return;
   }
   if (!idle) {
     LogEvent(LogLevel::kWarning, "drain_limit_passed", { { "in_flight", this->InFlight() } });
   }
   // The machine must not be re-entered from its own action, so the event gets a turn of its own.
-  this->control.Post([this] { this->control.Life().Drained(); });
+  this->control->Post([this] { this->control->Life().Drained(); });
 }
 
 void
 Daemon::Stop()
 {
-  this->control.Overlay().AnnounceState(MemberState::kGone);
-  this->control.Timers().At(this->node.clock.Now() + kFarewell, [this] { this->control.Finish(); });
+  this->control->Overlay().AnnounceState(MemberState::kGone);
+  this->control->Timers().At(this->node.clock.Now() + kFarewell, [this] { this->control->Finish(); });
 }
 
 std::size_t
--- a/src/app/internal/daemon.h
+++ b/src/app/internal/daemon.h
@@ -29,11 +29,12 @@
 
   Result<void> Open();
   void CheckDrained();
+  void StopThreads();
   double Utilisation();
   std::size_t InFlight() const;
 
   NodeContext node;
-  ControlPlane control;
+  std::unique_ptr<ControlPlane> control;
   std::vector<std::unique_ptr<RequestThread>> threads;
   std::unique_ptr<ILeafPools> pools;
   std::unique_ptr<MetricsCollector> metrics;
--- a/src/app/internal/requestthread.h
+++ b/src/app/internal/requestthread.h
@@ -35,6 +35,9 @@
   /// Ends the thread and waits for it.
   void Stop();
 
+  /// Closes the callers' port and connections; lookups under way are abandoned. After Stop.
+  void CloseCallers() { this->server.reset(); }
+
   /// \return a function that runs functions on this thread
   IForwarder::Post Post();
 
