Add the soak: the Riga example as processes under random faults and load

A drained server is not checked when a daemon was paused or started, or the host list was wrong, in the same interval. Partitions between entry hosts take privileges and stay with the virtual-time tests.

--- /dev/null
+++ b/soak/process.py
@@ -0,0 +1,141 @@
+"""Processes of a run. Signals go only to processes started here, by their process id."""
+
+from __future__ import annotations
+
+import asyncio
+import pathlib
+import signal
+import subprocess
+import time
+from typing import Dict, List, Optional, Tuple
+
+from soak.deployment import ROOT
+from soak.trace import Trace
+
+REAP_INTERVAL_S = 0.02
+STOP_LIMIT_S = 45.0  # leave time, drain limit, and some for the ends
+Interval = Tuple[float, float]
+
+
+class Process:
+    """A program that may be started several times, one run at a time."""
+
+    def __init__(self, name: str, command: List[str], logs: pathlib.Path, trace: Trace) -> None:
+        self.name = name
+        self.command = command
+        self.logs = logs
+        self.trace = trace
+        self.child: Optional[subprocess.Popen] = None
+        self.runs = 0
+        self.killed = False
+        self.stopping = False
+        self.started: List[float] = []
+        self.kills: List[float] = []
+        self.stops: List[float] = []
+        self.pauses: List[Interval] = []
+        self.paused_since: Optional[float] = None
+
+    def running(self) -> bool:
+        return self.child is not None and self.child.poll() is None
+
+    def start(self) -> None:
+        """Starts the program unless it runs."""
+        self.reap()
+        if self.child is not None:
+            return
+        self.runs += 1
+        self.killed = self.stopping = False
+        with open(self.logs / f"{self.name}.{self.runs}.log", "wb") as log:
+            self.child = subprocess.Popen(self.command, stdout=log, stderr=log, stdin=subprocess.DEVNULL, cwd=ROOT)
+        self.started.append(time.time())
+        if self.runs > 1:
+            self.trace.event(f"start {self.name} run={self.runs}")
+
+    def signal(self, number: int) -> bool:
+        if not self.running():
+            return False
+        assert self.child is not None
+        self.child.send_signal(number)
+        return True
+
+    def kill(self) -> None:
+        self.killed = self.killed or self.running()
+        if self.signal(signal.SIGKILL):
+            self.kills.append(time.time())
+            self.trace.event(f"SIGKILL {self.name}")
+            self.end_pause()
+            assert self.child is not None
+            self.child.wait()
+            self.reap()
+
+    def stop(self) -> None:
+        if not self.stopping and self.signal(signal.SIGTERM):
+            self.stopping = True
+            self.stops.append(time.time())
+            self.trace.event(f"SIGTERM {self.name}")
+
+    def pause(self) -> Optional[int]:
+        """Stops the process from running. Returns the number of the run for resume."""
+        if self.paused_since is not None or not self.signal(signal.SIGSTOP):
+            return None
+        self.paused_since = time.time()
+        self.trace.event(f"SIGSTOP {self.name}")
+        return self.runs
+
+    def resume(self, run: Optional[int]) -> None:
+        if run is None or run != self.runs or self.paused_since is None:
+            return
+        self.signal(signal.SIGCONT)
+        self.trace.event(f"SIGCONT {self.name}")
+        self.end_pause()
+
+    def end_pause(self) -> None:
+        if self.paused_since is not None:
+            self.pauses.append((self.paused_since, time.time()))
+            self.paused_since = None
+
+    def paused_during(self, begin: float, end: float) -> bool:
+        if self.paused_since is not None and self.paused_since <= end:
+            return True
+        return any(first <= end and last >= begin for first, last in self.pauses)
+
+    def killed_during(self, begin: float, end: float) -> bool:
+        return any(begin <= moment <= end for moment in self.kills)
+
+    def reap(self) -> None:
+        """Checks how the process ended, if it did."""
+        if self.child is None or self.child.poll() is None:
+            return
+        code = self.child.returncode
+        expected = -signal.SIGKILL if self.killed else 0
+        wanted = self.killed or self.stopping
+        # A process may end by itself just before the SIGKILL.
+        if not wanted or (code != expected and not (self.killed and self.stopping and code == 0)):
+            self.trace.violation(time.time(), "process_ended", f"{self.name} run={self.runs} exit_code={code}")
+        self.trace.event(f"ended {self.name} exit_code={code}")
+        self.child = None
+        self.end_pause()
+
+    async def wait_end(self, limit: float) -> bool:
+        end = time.time() + limit
+        while self.running() and time.time() < end:
+            await asyncio.sleep(REAP_INTERVAL_S)
+        ended = not self.running()
+        self.reap()
+        return ended
+
+
+def stop_all(processes: Dict[str, Process]) -> None:
+    """Ends every process at the end of a run: daemons in the planned way, the others at once."""
+    for process in processes.values():
+        process.signal(signal.SIGCONT)
+        process.end_pause()
+        process.stop()
+    end = time.time() + STOP_LIMIT_S
+    while time.time() < end and any(process.running() for process in processes.values()):
+        time.sleep(REAP_INTERVAL_S)
+    for process in processes.values():
+        if process.running():
+            process.trace.violation(time.time(), "planned_stop_too_long", f"{process.name} at the end of the run")
+            process.kill()
+        process.reap()
