Let the soak's platform faults end with their round, and excuse waits for a core only

The host list stayed down after a round in which a lag and an outage overlapped, because a lag in force kept the mode from being set to up. A round now ends only when both platform parts report up and the current list is visible; the run fails otherwise.

The scheduler pauses a daemon like SIGSTOP does, so the time its threads waited for a core (/proc schedstat, sampled every 100 ms) is added to the slack and counted as late_for_a_core. Replies that are late for any other reason stay violations.

The quiet drain waits until no node is younger than 5 s, so that it is checked and not excused.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -17,7 +17,7 @@
 from soak import deployment as deployments
 from soak.checks import Checker, Tickets, read_executions
 from soak.client import Client
-from soak.faults import Injector, forced_round, plan_round
+from soak.faults import START_GRACE_S, Injector, forced_round, plan_round
 from soak.load import Load
 from soak.process import Process, stop_all
 from soak.trace import Trace, around, log_lines
@@ -123,6 +123,8 @@
         await injector.publish(injector.fleet_change(self.rounds), "quiet")
         await self.wait_converged(begin, CONVERGENCE_S, old + young, "ticket in a quiet system")
         injector.round_over.clear()
+        await asyncio.sleep(max(0.0, max(self.processes[name].started[-1] for name in old + young)
+                                + START_GRACE_S + QUIET_S - time.time()))
         await injector.drain(self.deployment.servers[self.rounds * 7 % len(self.deployment.servers)])
         await asyncio.sleep(QUIET_S)
 
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -81,12 +81,14 @@
                                                     f"reply={json.dumps(exchange.reply)[:300]}")
         self.counts[f"{exchange.kind}_{outcome}"] += 1
         late = exchange.ended - exchange.sent - exchange.deadline_s
+        self.counts["late_for_a_core"] += LATE_SLACK_S < late <= LATE_SLACK_S + lag_s
         if late > LATE_SLACK_S + lag_s:
             self.counts["late_excused" if excused_late else "late"] += 1
             if not excused_late:
                 self.fail(exchange.ended, "late_reply", f"{exchange.host} {exchange.kind} {outcome} "
                                                         f"{late * 1000:.0f} ms after the deadline of "
-                                                        f"{exchange.deadline_s * 1000:.0f} ms")
+                                                        f"{exchange.deadline_s * 1000:.0f} ms; waits for a core "
+                                                        f"{lag_s * 1000:.0f} ms")
 
     def lookup(self, exchange: Exchange, question: Question) -> None:
         reply = exchange.reply
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -20,6 +20,8 @@
 LAYOUT_CYCLE = [[1], [1, 2], [2], [1, 2]]
 DRAIN_OBSERVED_S = 3.5  # after this no new work may reach a leaving server; requests under way still end
 DRAIN_WATCH_S = 2.5
+MAX_LAG_S = 5.5  # of the host list
+START_GRACE_S = 5.0  # a node that started so recently may not know yet which servers are leaving
 
 # Kind of fault, how often it is drawn, and the bounds of its length in seconds.
 KINDS: List[Tuple[str, int, float, float]] = [
@@ -76,6 +78,7 @@
         self.leaving_hosts: Dict[str, int] = {}
         self.leaving_servers: Dict[str, int] = {}
         self.modes: Dict[str, List[str]] = {"config": [], "hosts": []}
+        self.lags = 0
         self.host_list_changes: List[float] = []  # times at which the host list was or became wrong or late
         self.version = {service: 1 for service in deployment.services}
         self.layout_step = {service: 0 for service, layouts in deployment.services.items() if len(layouts) > 1}
@@ -97,6 +100,7 @@
         self.round_over.set()
         while self.tasks:
             await asyncio.wait(set(self.tasks))
+        await self.check_platform_up()
         self.trace.event("faults end")
 
     def launch(self, fault: Fault) -> None:
@@ -225,9 +229,10 @@
         """A node that was paused or that started meanwhile, or a wrong host list, cannot know of it in time."""
         for host in self.deployment.hosts:
             process = self.processes[host.name]
-            if process.paused_during(begin, end) or any(begin - 5.0 <= moment <= end for moment in process.started):
+            if process.paused_during(begin, end) or process.started_during(begin - START_GRACE_S, end):
                 return True
-        return bool(self.modes["hosts"]) or any(begin <= moment <= end for moment in self.host_list_changes)
+        return bool(self.modes["hosts"]) or self.lags > 0 or any(
+            begin - MAX_LAG_S <= moment <= end for moment in self.host_list_changes)
 
     async def do_server_slow(self, fault: Fault) -> None:
         await self.set_and_reset(fault, {"slow_factor": 5 + fault.pick % 45}, {"slow_factor": 1})
@@ -379,13 +384,24 @@
         if not self.modes[part]:
             await self.set_mode(part, {"mode": "up"})
 
+    async def check_platform_up(self) -> None:
+        """A fault that outlives its round would make the checks of the quiet system wrong."""
+        for address, port in ((self.deployment.config_service, CONFIG_PORT),
+                              (self.deployment.host_list_address, HOST_LIST_PORT)):
+            for _ in range(READY_TRIES):
+                stats = await self.client.call("platform", address, port, "GET", "/admin/stats")
+                # A list that was set while there was a lag is shown when the lag has passed.
+                if stats is None or stats.get("visible_version") == stats.get("version"):
+                    break
+                await asyncio.sleep(0.1)
+            if stats is None or stats["mode"] != "up" or stats.get("lag_ms", 0) != 0:
+                raise RuntimeError(f"{address} is not up after a round: {stats}")
+
     async def do_config_down(self, fault: Fault) -> None:
         await self.platform_fault("config", {"mode": "down"}, fault.seconds)
 
     async def do_config_stale(self, fault: Fault) -> None:
-        head = max(0, self.tickets.head - fault.pick % 8)
-        async with self.publishing:
-            await self.set_mode("config", {"mode": "stale", "head": head})
+        head = max(0, self.tickets.head - fault.pick % 8 - 1)
         await self.platform_fault("config", {"mode": "stale", "head": head}, fault.seconds)
 
     async def do_hosts_down(self, fault: Fault) -> None:
@@ -401,11 +417,12 @@
         self.trace.event(f"hosts lag {lag_ms} ms")
 
     async def do_hosts_lag(self, fault: Fault) -> None:
-        self.modes["hosts"].append("lag")
-        await self.set_lag(500 + fault.pick % 5000)
+        self.lags += 1
+        await self.set_lag(500 + fault.pick % int(MAX_LAG_S * 1000 - 500))
         await self.hold(fault.seconds)
-        self.modes["hosts"].remove("lag")
-        await self.set_lag(0)
+        self.lags -= 1
+        if self.lags == 0:
+            await self.set_lag(0)
 
     async def do_hosts_wrong(self, fault: Fault) -> None:
         """The host list names a live host as leaving."""
--- a/soak/load.py
+++ b/soak/load.py
@@ -7,7 +7,7 @@
 import time
 from typing import Any, Callable, Dict, List, Optional
 
-from soak.checks import Checker, IdRecord, Question
+from soak.checks import LATE_SLACK_S, Checker, IdRecord, Question
 from soak.client import Client, Exchange, encode
 from soak.deployment import Host
 from soak.process import Process
@@ -15,6 +15,7 @@
 CALLER_PORT = 7001
 GRACE_S = 3.0  # after the deadline; a reply that takes longer counts as missing
 LAG_TICK_S = 0.01
+DELAY_INTERVAL_S = 0.1
 ADDRESS_TTL_S = 3.0
 SIZES = ["sr626", "sr920", "cr2032", "za10", "za312", "za13", "za675"]
 MACHINES = 40
@@ -48,7 +49,7 @@
         self.checker.fail(time.time(), "reply_without_request", f"{host} {data[:200]!r}")
 
     async def run(self) -> None:
-        jobs = [self.watch_lag(), self.arrivals(self.rates[0], self.lookup),
+        jobs = [self.watch_lag(), self.watch_scheduling(), self.arrivals(self.rates[0], self.lookup),
                 self.arrivals(self.rates[1], self.order), self.refresh_addresses()]
         await asyncio.gather(*jobs)
         while self.tasks:
@@ -65,6 +66,12 @@
                 self.lags.append(before)
                 self.lag_values.append(late)
 
+    async def watch_scheduling(self) -> None:
+        while not self.ending:
+            for name in self.names:
+                self.processes[name].sample_delay()
+            await asyncio.sleep(DELAY_INTERVAL_S)
+
     def lag_during(self, begin: float, end: float) -> float:
         worst = 0.0
         for index in range(len(self.lags) - 1, -1, -1):
@@ -115,7 +122,9 @@
         process = self.processes[exchange.host]
         paused = process.paused_during(exchange.sent, exchange.ended)
         if exchange.status:
-            lag = self.lag_during(exchange.sent, exchange.ended)
+            if exchange.ended - exchange.sent > exchange.deadline_s + LATE_SLACK_S:
+                process.sample_delay()
+            lag = self.lag_during(exchange.sent, exchange.ended) + process.delay_during(exchange.sent, exchange.ended)
             self.checker.answer(exchange, paused, lag)
             return
         self.checker.counts[exchange.failure] += 1
--- a/soak/process.py
+++ b/soak/process.py
@@ -14,6 +14,7 @@
 
 REAP_INTERVAL_S = 0.02
 STOP_LIMIT_S = 45.0  # leave time, drain limit, and some for the ends
+MIN_DELAY_NS = 5_000_000  # shorter waits are part of the slack
 Interval = Tuple[float, float]
 
 
@@ -34,6 +35,9 @@
         self.stops: List[float] = []
         self.pauses: List[Interval] = []
         self.paused_since: Optional[float] = None
+        self.task_delays: Dict[str, int] = {}  # by thread, ns spent waiting for a core
+        self.delays: List[Tuple[float, float, float]] = []  # begin and end of a sample, and the longest wait in it
+        self.sampled = time.time()
 
     def running(self) -> bool:
         return self.child is not None and self.child.poll() is None
@@ -102,6 +106,36 @@
     def killed_during(self, begin: float, end: float) -> bool:
         return any(begin <= moment <= end for moment in self.kills)
 
+    def started_during(self, begin: float, end: float) -> bool:
+        return any(begin <= moment <= end for moment in self.started)
+
+    def sample_delay(self) -> None:
+        """Reads how long the threads could run but had no core: the process was paused by the scheduler."""
+        if not self.running():
+            self.task_delays = {}
+            return
+        assert self.child is not None
+        now, worst, delays = time.time(), 0, {}
+        for task in pathlib.Path(f"/proc/{self.child.pid}/task").glob("*/schedstat"):
+            try:
+                delays[task.parent.name] = int(task.read_text().split()[1])
+            except (OSError, IndexError):
+                continue
+            worst = max(worst, delays[task.parent.name] - self.task_delays.get(task.parent.name, 0))
+        if worst > MIN_DELAY_NS and self.task_delays:
+            self.delays.append((self.sampled, now, worst / 1e9))
+        self.task_delays, self.sampled = delays, now
+
+    def delay_during(self, begin: float, end: float) -> float:
+        """Upper bound of the time that a thread waited for a core in an interval."""
+        total = 0.0
+        for first, last, delay in reversed(self.delays):
+            if last < begin:
+                break
+            if first <= end:
+                total += min(delay, last - first)
+        return total
+
     def reap(self) -> None:
         """Checks how the process ended, if it did."""
         if self.child is None or self.child.poll() is None:
