Count the reasons of the soak's replies and test its intervals

The counts before the verdict name the reason of each reply that was not answered. The tests cover that pauses, kills and waits for a core excuse only replies in the same interval.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -80,6 +80,8 @@
             self.fail(exchange.ended, "reply_form", f"{exchange.host} {exchange.kind} status={exchange.status} "
                                                     f"reply={json.dumps(exchange.reply)[:300]}")
         self.counts[f"{exchange.kind}_{outcome}"] += 1
+        if "reason" in exchange.reply:
+            self.counts[f"{exchange.kind}_{outcome}_{exchange.reply['reason']}"] += 1
         late = exchange.ended - exchange.sent - exchange.deadline_s
         self.counts["late_for_a_core"] += LATE_SLACK_S < late <= LATE_SLACK_S + lag_s
         if late > LATE_SLACK_S + lag_s:
--- a/soak/tests/checks_tests.py
+++ b/soak/tests/checks_tests.py
@@ -227,6 +227,23 @@
             self.assertEqual(self.violations(code, killed, stopping), expected, (code, killed, stopping))
 
 
+    def test_waits_for_a_core_count_only_in_their_interval(self):
+        """Guards against late replies that are excused by waits at another time."""
+        process = Process("entry-1", [], pathlib.Path("."), trace.Trace())
+        process.delays = [(1.0, 1.1, 0.05), (1.1, 1.2, 0.5), (5.0, 5.1, 0.02)]
+        self.assertAlmostEqual(process.delay_during(1.05, 1.15), 0.15)  # a wait is at most as long as its sample
+        self.assertAlmostEqual(process.delay_during(4.0, 6.0), 0.02)
+        self.assertEqual(process.delay_during(2.0, 4.0), 0.0)
+
+    def test_pauses_and_kills_count_only_in_their_interval(self):
+        process = Process("entry-1", [], pathlib.Path("."), trace.Trace())
+        process.pauses, process.kills = [(2.0, 3.0)], [7.0]
+        self.assertTrue(process.paused_during(2.9, 4.0))
+        self.assertFalse(process.paused_during(3.1, 6.0))
+        self.assertTrue(process.killed_during(6.5, 7.5))
+        self.assertFalse(process.killed_during(7.1, 9.0))
+
+
 class PlanTest(unittest.TestCase):
     def test_a_seed_gives_one_plan(self):
         plans = [faults.plan_round(random.Random(SEED), 60.0) for _ in range(2)]
