--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -183,6 +183,7 @@
             killed = process.killed_during(exchange.sent - 0.1, exchange.ended + 0.1)
             drained = any(moment <= exchange.sent for moment in draining.get(exchange.host, [])
                           if not any(moment < start <= exchange.sent for start in process.started))
+            self.checker.counts["closed_killed" if killed else "closed_drained" if drained else "closed_other"] += 1
             if not killed and not drained:
                 self.trace.violation(exchange.ended, "closed_without_reply",
                                      f"{exchange.host} {exchange.kind} sent {exchange.ended - exchange.sent:.3f} s before")
