Make the overlay's simulated network and peer choice cheaper

The simulated network copied each frame up to four times through nested functions, looked links up in ordered maps and searched all links at each kill. Peer choice sorted all members by a logarithm of their hash.

The event queue now moves frames, links are kept in a hash table and by node, and peer choice compares the hashes themselves and sorts only the first 16. The chosen peers and ranks are the same, because the score is monotonic in the hash.

--- a/src/overlay/internal/peerchoice.cpp
+++ b/src/overlay/internal/peerchoice.cpp
@@ -15,16 +15,23 @@
 
 struct Candidate
 {
-  double score;
+  std::uint64_t score; ///< ordered like RendezvousScore, without its logarithm
   const MemberStatus* status;
 };
 
 void
 Choose(std::vector<Candidate>& aCandidates, std::size_t aCount, std::set<std::string>& aChosen)
 {
-  std::sort(aCandidates.begin(), aCandidates.end(), [](const Candidate& aLeft, const Candidate& aRight) {
+  const auto higher = [](const Candidate& aLeft, const Candidate& aRight) {
     return aLeft.score > aRight.score;
-  });
+  };
+  // Usually the first few decide; the rest is sorted only when too many of them are unreachable.
+  constexpr std::size_t kSortedFirst = 16;
+  const std::size_t sorted = std::min(kSortedFirst, aCandidates.size());
+  std::partial_sort(aCandidates.begin(),
+                    aCandidates.begin() + static_cast<std::ptrdiff_t>(sorted),
+                    aCandidates.end(),
+                    higher);
   const auto reachable = static_cast<std::size_t>(
     std::count_if(aCandidates.begin(), aCandidates.end(), [](const Candidate& aCandidate) {
       return !aCandidate.status->unreachable;
@@ -32,6 +39,9 @@
   const std::size_t tried = reachable < aCount ? aCount + kExtraUnreachable : aCount;
   std::size_t takenReachable = 0;
   for (std::size_t i = 0; i < aCandidates.size(); ++i) {
+    if (i == sorted) {
+      std::sort(aCandidates.begin() + static_cast<std::ptrdiff_t>(sorted), aCandidates.end(), higher);
+    }
     const MemberStatus& status = *aCandidates[i].status;
     if (i < tried || (!status.unreachable && takenReachable < aCount)) {
       aChosen.insert(status.record.host);
@@ -53,6 +63,7 @@
   if (self == nullptr) {
     return chosen;
   }
+  const std::uint64_t key = Hash64(aView.self);
   std::vector<Candidate> ownDomain;
   std::vector<Candidate> otherDomains;
   std::vector<Candidate> otherRegions;
@@ -61,7 +72,7 @@
     if (record.host == aView.self || record.state == MemberState::kGone || record.peerEndpoint.port == 0) {
       continue;
     }
-    const Candidate candidate{ RendezvousScore(aView.self, record.host), &status };
+    const Candidate candidate{ Hash64(record.host, key), &status };
     if (record.region != self->record.region) {
       otherRegions.push_back(candidate);
     } else if (record.failureDomain != self->record.failureDomain) {
@@ -83,14 +94,14 @@
   if (self == nullptr) {
     return 0;
   }
-  const std::string key = "reader/" + self->record.failureDomain;
-  const double own = RendezvousScore(key, aView.self);
+  const std::uint64_t key = Hash64("reader/" + self->record.failureDomain);
+  const std::uint64_t own = Hash64(aView.self, key);
   std::size_t rank = 0;
   for (const MemberStatus& status : aView.members) {
     const MemberRecord& record = status.record;
     const bool candidate = record.failureDomain == self->record.failureDomain && !status.unreachable &&
                            record.state != MemberState::kLeaving && record.host != aView.self;
-    if (candidate && RendezvousScore(key, record.host) > own) {
+    if (candidate && Hash64(record.host, key) > own) {
       ++rank;
     }
   }
--- a/src/overlay/tests/fakeworld.h
+++ b/src/overlay/tests/fakeworld.h
@@ -12,6 +12,7 @@
 #include <queue>
 #include <set>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace yp {
@@ -140,12 +141,7 @@
     node.running = false;
     ++node.run;
     node.backlog.clear();
-    std::vector<LinkId> ends;
-    for (const auto& end : this->ends) {
-      if (end.second.node == aIndex) {
-        ends.push_back(end.first);
-      }
-    }
+    const std::set<LinkId> ends = node.ends;
     for (const LinkId end : ends) {
       this->CloseEnd(end);
     }
@@ -250,10 +246,11 @@
   {
     const TimePoint end = this->clock.Now() + aTime;
     while (!this->events.empty() && this->events.top().when <= end) {
-      const Event event = this->events.top();
+      // The functions own frames; the queue gives only const access, and the event is removed at once.
+      const Event event = std::move(const_cast<Event&>(this->events.top()));
       this->events.pop();
       this->clock.Advance(std::max(event.when - this->clock.Now(), Duration(0)));
-      event.function();
+      this->RunEvent(event.node, event.run, event.function);
     }
     this->clock.Advance(end - this->clock.Now());
   }
@@ -298,6 +295,8 @@
   {
     TimePoint when;
     std::uint64_t order;
+    NodeIndex node;
+    std::uint64_t run;
     std::function<void()> function;
     bool operator<(const Event& aOther) const
     {
@@ -309,6 +308,7 @@
   {
     NodeIndex node = 0;
     LinkId other = 0;
+    TimePoint lastArrival; ///< of the newest frame sent to this end
   };
 
   class Network final : public IPeerNetwork
@@ -421,6 +421,7 @@
     TimePoint started;
     double cpuSeconds = 0;
     std::vector<std::function<void()>> backlog;
+    std::set<LinkId> ends;
     std::unique_ptr<SeededRandom> random;
     std::unique_ptr<ITicketStore> store;
     std::unique_ptr<IMemberTable> members;
@@ -430,17 +431,29 @@
     std::unique_ptr<IOverlayNode> overlay;
   };
 
-  void At(TimePoint aWhen, std::function<void()> aFunction)
+  void AddEnd(LinkId aLink, NodeIndex aNode, LinkId aOther)
   {
-    this->events.push({ aWhen, ++this->order, std::move(aFunction) });
+    this->ends[aLink] = { aNode, aOther, {} };
+    this->nodes[aNode]->ends.insert(aLink);
+  }
+
+  /// \return whether the end existed
+  bool EraseEnd(LinkId aLink)
+  {
+    const auto found = this->ends.find(aLink);
+    if (found == this->ends.end()) {
+      return false;
+    }
+    this->nodes[found->second.node]->ends.erase(aLink);
+    this->ends.erase(found);
+    return true;
   }
 
   /// Runs a function as an event of a node's current process, or holds it while the node is paused.
   void Deliver(NodeIndex aNode, Duration aDelay, std::function<void()> aFunction)
   {
-    const std::uint64_t run = this->nodes[aNode]->run;
-    this->At(this->clock.Now() + aDelay,
-             [this, aNode, run, function = std::move(aFunction)] { this->RunEvent(aNode, run, function); });
+    this->events.push(
+      { this->clock.Now() + aDelay, ++this->order, aNode, this->nodes[aNode]->run, std::move(aFunction) });
   }
 
   void RunEvent(NodeIndex aNode, std::uint64_t aRun, const std::function<void()>& aFunction)
@@ -513,7 +526,7 @@
   {
     const LinkId link = ++this->lastLink;
     const NodeIndex to = aEndpoint.port - 1000U;
-    this->ends[link] = { aFrom, 0 };
+    this->AddEnd(link, aFrom, 0);
     const bool lost = to >= this->Size() || this->IsCut(aFrom, to) || this->IsCut(to, aFrom);
     const Duration delay = lost ? Duration(1s) : 3 * this->Latency(aFrom, to);
     this->Deliver(aFrom, delay, [this, aFrom, to, link, lost] {
@@ -521,13 +534,13 @@
         return;
       }
       if (lost || !this->nodes[to]->running) {
-        this->ends.erase(link);
+        this->EraseEnd(link);
         this->nodes[aFrom]->network->down(link, Error{ ErrorCode::kUnavailable, "fake", "", "refused" });
         return;
       }
       const LinkId accepted = ++this->lastLink;
       this->ends[link].other = accepted;
-      this->ends[accepted] = { to, link };
+      this->AddEnd(accepted, to, link);
       this->Deliver(to, 0ms, [this, to, accepted] {
         if (this->ends.count(accepted) != 0) {
           this->nodes[to]->network->up(accepted, false);
@@ -545,7 +558,7 @@
       return;
     }
     const End end = found->second;
-    this->ends.erase(found);
+    this->EraseEnd(aLink);
     const auto other = this->ends.find(end.other);
     if (other == this->ends.end()) {
       return;
@@ -555,7 +568,7 @@
       return;
     }
     this->Deliver(peer, this->Latency(end.node, peer) + 300us, [this, peer, link = end.other] {
-      if (this->ends.erase(link) != 0) {
+      if (this->EraseEnd(link)) {
         this->nodes[peer]->network->down(link, Error{ ErrorCode::kConnection, "fake", "", "closed" });
       }
     });
@@ -583,7 +596,7 @@
       Duration delay = this->Latency(from, to);
       if (this->faults.reordering == 0) {
         // Order within a link is kept.
-        TimePoint& last = this->lastArrival[other];
+        TimePoint& last = peer->second.lastArrival;
         const TimePoint arrival = std::max(last, this->clock.Now() + delay);
         last = arrival;
         delay = arrival - this->clock.Now();
@@ -648,8 +661,7 @@
   std::priority_queue<Event> events;
   std::uint64_t order = 0;
   LinkId lastLink = 0;
-  std::map<LinkId, End> ends;
-  std::map<LinkId, TimePoint> lastArrival;
+  std::unordered_map<LinkId, End> ends;
   std::set<std::pair<NodeIndex, NodeIndex>> cuts;
   Faults faults;
   ServiceMode mode = ServiceMode::kUp;
