Announce members in batches and compare a newcomer's table with one peer at a time

Each record travelled alone in its own frame over 6 links, with named fields; at a simultaneous start of N nodes that is 12 N frames a node. A newcomer got the whole table from each of its 15 or so peers.

Records that are not urgent now wait for the next tick (100 ms) and go together to 4 links, as lists without field names and with one address for all endpoints. Answers to a comparison of tables are marked, because their size no longer tells them from news. Reports are lists too. A node that is not ready starts the comparison itself, one a second. Peers are chosen anew at most once per 150 us and member.

--- a/src/overlay/internal/messages.cpp
+++ b/src/overlay/internal/messages.cpp
@@ -17,6 +17,8 @@
 constexpr int kCompressionLevel = 1;
 constexpr std::size_t kIncarnationBytes = 24;
 constexpr std::size_t kHashBytes = 8;
+// Sequences are raised by one; the bound keeps a malformed one from overflowing at the owner.
+constexpr std::uint64_t kMaxSequence = std::numeric_limits<std::uint64_t>::max() / 2;
 constexpr CodecLimits kFrameLimits{ kMaxFrameBytes, 16 };
 
 Json
@@ -215,9 +217,9 @@
 }
 
 Incarnation
-ReadIncarnation(FieldReader& aReader, const char* aKey)
+AsIncarnation(FieldReader& aReader, const Json& aField)
 {
-  const std::string bytes = aReader.Bytes(aKey, kIncarnationBytes);
+  const std::string bytes = aReader.AsBytes(aField, kIncarnationBytes);
   if (bytes.size() != kIncarnationBytes) {
     aReader.Mark("an incarnation is malformed");
     return {};
@@ -227,9 +229,9 @@
 }
 
 Endpoint
-ReadEndpoint(FieldReader& aReader, const char* aKey)
+ReadEndpoint(FieldReader& aReader, const Json& aField)
 {
-  const std::string text = aReader.Text(aKey);
+  const std::string text = aReader.AsText(aField);
   // A node without a listener of a kind announces port 0.
   if (text.empty() || text == ":0" || aReader.Failed()) {
     return {};
@@ -241,46 +243,93 @@
                  });
 }
 
+Endpoint
+ReadEndpoint(FieldReader& aReader, const char* aKey)
+{
+  const Json* field = aReader.Field(aKey);
+  return field == nullptr ? Endpoint{} : ReadEndpoint(aReader, *field);
+}
+
 Json
 ToJson(const Endpoint& aEndpoint)
 {
   return aEndpoint.address.empty() ? std::string() : ToString(aEndpoint);
 }
 
+/// An endpoint of a record: its port alone when it has the address of the peer endpoint.
+Json
+ToJson(const Endpoint& aEndpoint, const Endpoint& aPeer)
+{
+  if (!aEndpoint.address.empty() && aEndpoint.address == aPeer.address) {
+    return static_cast<std::uint64_t>(aEndpoint.port);
+  }
+  return ToJson(aEndpoint);
+}
+
+Endpoint
+ReadEndpoint(FieldReader& aReader, const Json& aField, const Endpoint& aPeer)
+{
+  if (!aField.is_number()) {
+    return ReadEndpoint(aReader, aField);
+  }
+  const auto port = static_cast<std::uint16_t>(
+    aReader.AsNumber(aField, std::numeric_limits<decltype(Endpoint::port)>::max()));
+  if (aPeer.address.empty()) {
+    aReader.Mark("a port has no address");
+  }
+  return { aPeer.address, port };
+}
+
+/// A record is a list in the order of RecordField: records are most of the traffic, and names of fields
+/// would take a fifth of it.
+enum RecordField : std::size_t
+{
+  kRecordHost,
+  kRecordDomain,
+  kRecordRegion,
+  kRecordPeer,
+  kRecordCaller,
+  kRecordAdmin,
+  kRecordIncarnation,
+  kRecordSequence,
+  kRecordState,
+  kRecordFields
+};
+
 Json
 ToJson(const MemberRecord& aRecord)
 {
-  return { { "h", aRecord.host },
-           { "d", aRecord.failureDomain },
-           { "r", aRecord.region },
-           { "p", ToJson(aRecord.peerEndpoint) },
-           { "c", ToJson(aRecord.callerEndpoint) },
-           { "a", ToJson(aRecord.adminEndpoint) },
-           { "i", ToJson(aRecord.incarnation) },
-           { "q", aRecord.sequence },
-           { "s", static_cast<std::uint64_t>(aRecord.state) } };
+  return Json::array({ aRecord.host,
+                       aRecord.failureDomain,
+                       aRecord.region,
+                       ToJson(aRecord.peerEndpoint),
+                       ToJson(aRecord.callerEndpoint, aRecord.peerEndpoint),
+                       ToJson(aRecord.adminEndpoint, aRecord.peerEndpoint),
+                       ToJson(aRecord.incarnation),
+                       aRecord.sequence,
+                       static_cast<std::uint64_t>(aRecord.state) });
 }
 
 MemberRecord
-ReadRecord(FieldReader& aOuter, const Json& aValue)
+ReadRecord(FieldReader& aReader, const Json& aValue)
 {
-  FieldReader reader(aValue);
   MemberRecord record;
-  record.host = reader.Text("h");
-  record.failureDomain = reader.Text("d");
-  record.region = reader.Text("r");
-  record.peerEndpoint = ReadEndpoint(reader, "p");
-  record.callerEndpoint = ReadEndpoint(reader, "c");
-  record.adminEndpoint = ReadEndpoint(reader, "a");
-  record.incarnation = ReadIncarnation(reader, "i");
-  // Sequences are raised by one; the bound keeps a malformed one from overflowing at the owner.
-  record.sequence = reader.Number("q", std::numeric_limits<std::uint64_t>::max() / 2);
-  record.state = static_cast<MemberState>(reader.Number("s", static_cast<std::uint64_t>(MemberState::kGone)));
+  if (!aValue.is_array() || aValue.size() != kRecordFields) {
+    aReader.Mark("a record is malformed");
+    return record;
+  }
+  record.host = aReader.AsText(aValue[kRecordHost]);
+  record.failureDomain = aReader.AsText(aValue[kRecordDomain]);
+  record.region = aReader.AsText(aValue[kRecordRegion]);
+  record.peerEndpoint = ReadEndpoint(aReader, aValue[kRecordPeer]);
+  record.callerEndpoint = ReadEndpoint(aReader, aValue[kRecordCaller], record.peerEndpoint);
+  record.adminEndpoint = ReadEndpoint(aReader, aValue[kRecordAdmin], record.peerEndpoint);
+  record.incarnation = AsIncarnation(aReader, aValue[kRecordIncarnation]);
+  record.sequence = aReader.AsNumber(aValue[kRecordSequence], kMaxSequence);
+  record.state = static_cast<MemberState>(
+    aReader.AsNumber(aValue[kRecordState], static_cast<std::uint64_t>(MemberState::kGone)));
   if (record.host.empty()) {
-    reader.Mark("a host has no name");
-  }
-  if (reader.Failed()) {
-    aOuter.Mark(reader.Problem());
+    aReader.Mark("a host has no name");
   }
   return record;
 }
@@ -386,6 +435,23 @@
   return host;
 }
 
+Suspicion
+ReadSuspicion(FieldReader& aReader, const Json& aValue)
+{
+  constexpr std::size_t kFields = 5;
+  Suspicion suspicion;
+  if (!aValue.is_array() || aValue.size() != kFields) {
+    aReader.Mark("a report is malformed");
+    return suspicion;
+  }
+  suspicion.host = aReader.AsText(aValue[0]);
+  suspicion.incarnation = AsIncarnation(aReader, aValue[1]);
+  suspicion.sequence = aReader.AsNumber(aValue[2], kMaxSequence);
+  suspicion.reporter = aReader.AsText(aValue[3]);
+  suspicion.reporterDomain = aReader.AsText(aValue[4]);
+  return suspicion;
+}
+
 std::string
 ReadText(FieldReader& aReader, const Json& aValue)
 {
@@ -405,16 +471,13 @@
 Read(FieldReader& aReader, RecordsMessage& aMessage)
 {
   aMessage.records = aReader.List<MemberRecord>("m", kMaxElements, ReadRecord);
+  aMessage.news = aReader.Flag("n");
 }
 
 void
 Read(FieldReader& aReader, SuspectMessage& aMessage)
 {
-  aMessage.suspicion.host = aReader.Text("h");
-  aMessage.suspicion.incarnation = ReadIncarnation(aReader, "i");
-  aMessage.suspicion.sequence = aReader.Number("q", std::numeric_limits<std::uint64_t>::max() / 2);
-  aMessage.suspicion.reporter = aReader.Text("r");
-  aMessage.suspicion.reporterDomain = aReader.Text("d");
+  aMessage.suspicions = aReader.List<Suspicion>("s", kMaxElements, ReadSuspicion);
 }
 
 void
@@ -527,18 +590,21 @@
   for (const MemberRecord& record : aMessage.records) {
     records.push_back(ToJson(record));
   }
-  return EncodeCbor({ { "m", std::move(records) } });
+  return EncodeCbor({ { "m", std::move(records) }, { "n", aMessage.news } });
 }
 
 std::string
 Encode(const SuspectMessage& aMessage)
 {
-  const Suspicion& suspicion = aMessage.suspicion;
-  return EncodeCbor({ { "h", suspicion.host },
-                      { "i", ToJson(suspicion.incarnation) },
-                      { "q", suspicion.sequence },
-                      { "r", suspicion.reporter },
-                      { "d", suspicion.reporterDomain } });
+  Json suspicions = Json::array();
+  for (const Suspicion& suspicion : aMessage.suspicions) {
+    suspicions.push_back(Json::array({ suspicion.host,
+                                       ToJson(suspicion.incarnation),
+                                       suspicion.sequence,
+                                       suspicion.reporter,
+                                       suspicion.reporterDomain }));
+  }
+  return EncodeCbor({ { "s", std::move(suspicions) } });
 }
 
 std::string
--- a/src/overlay/internal/messages.h
+++ b/src/overlay/internal/messages.h
@@ -23,13 +23,14 @@
 {
   static constexpr const char* kType = "records";
   std::vector<MemberRecord> records;
+  bool news = true; ///< passed on where it is new; false in the answer to a comparison of tables
 };
 
-/// A report that a member cannot be reached.
+/// Reports that members cannot be reached.
 struct SuspectMessage
 {
   static constexpr const char* kType = "suspect";
-  Suspicion suspicion;
+  std::vector<Suspicion> suspicions;
 };
 
 /// A ticket's header, with the body if it is small.
--- a/src/overlay/internal/overlaynode.cpp
+++ b/src/overlay/internal/overlaynode.cpp
@@ -28,8 +28,9 @@
 // Time in which an inline body may still arrive from another peer before it is pulled.
 constexpr milliseconds kInlineGrace{ 100 };
 constexpr milliseconds kDigestGrace{ 300 };
-// Announcements that are not urgent go to this many links; digests repair what is missed.
-constexpr std::size_t kRecordLinks = 6;
+// Announcements that are not urgent wait for the next tick and go to this many links together; digests
+// repair what is missed.
+constexpr std::size_t kRecordLinks = 4;
 constexpr std::size_t kRecordsPerFrame = 1000;
 constexpr std::size_t kPullNumbers = 64;
 constexpr std::size_t kPartBytes = 512 * 1024;
@@ -40,6 +41,10 @@
 // A newcomer takes a transfer unless the whole history is as short as this.
 constexpr TicketNumber kShortHistory = 8;
 constexpr seconds kBucketsInterval{ 3 };
+// A newcomer compares tables with one peer at a time: each peer would send it the whole table.
+constexpr seconds kNewcomerCompareInterval{ 1 };
+// Choosing peers takes about 0.3 us a member; the interval bounds it to 0.2 % of a core.
+constexpr std::chrono::microseconds kChoiceIntervalPerMember{ 150 };
 constexpr std::size_t kAlwaysReaders = 2;
 constexpr std::size_t kMaxReaders = 5;
 constexpr seconds kEscalationStep{ 2 };
@@ -48,6 +53,14 @@
 constexpr seconds kListConfirms{ 30 };
 constexpr LinkId kNoLink = 0;
 
+void
+Shuffle(std::vector<LinkId>& aLinks, IRandom& aRandom)
+{
+  for (std::size_t i = aLinks.size(); i > 1; --i) {
+    std::swap(aLinks[i - 1], aLinks[aRandom.Below(i)]);
+  }
+}
+
 } // namespace
 
 std::unique_ptr<IOverlayNode>
@@ -213,6 +226,7 @@
   this->transferSource.Tick(now);
   this->transferSink.Tick(now);
   this->SendPulls();
+  this->SendPendingRecords();
   this->TickReader();
   this->PollHostList();
   this->Evaluate();
@@ -228,7 +242,7 @@
 void
 OverlayNode::AnnounceState(MemberState aState)
 {
-  this->FloodRecords({ this->options.members.SetOwnState(aState) }, kNoLink, true);
+  this->FloodRecords({ this->options.members.SetOwnState(aState) }, kNoLink);
 }
 
 void
@@ -249,11 +263,16 @@
 void
 OverlayNode::UpdateView()
 {
+  const TimePoint now = this->options.clock.Now();
+  if (this->view && now < this->nextChoice) {
+    return;
+  }
   const Ref<const MemberView> current = this->options.members.View();
   if (current == this->view) {
     return;
   }
   this->view = current;
+  this->nextChoice = now + kChoiceIntervalPerMember * current->members.size();
   this->targets = ChoosePeers(*this->view);
   this->rank = ReaderRank(*this->view);
 }
@@ -469,16 +488,16 @@
   aState.incarnation = record.incarnation;
   aState.established = true;
   aState.establishedAt = now;
-  this->Merge({ record }, aLink);
+  this->Merge({ record }, aLink, true);
   this->options.members.LinkUp(record.host);
   this->dials.erase(record.host);
   if (this->options.members.BelievedUnreachable(record.host)) {
     // The member learns of the reports and refutes them.
     const MemberRecord* known = this->options.members.Find(record.host);
     const MemberRecord& own = this->options.members.Own();
-    this->Send(
-      aLink,
-      SuspectMessage{ { known->host, known->incarnation, known->sequence, own.host, own.failureDomain } });
+    this->Send(aLink,
+               SuspectMessage{
+                 { { known->host, known->incarnation, known->sequence, own.host, own.failureDomain } } });
   }
   if (!this->KeepLink(aLink, aState)) {
     return;
@@ -527,9 +546,7 @@
       link.hasTickets.insert(aNumber);
     }
   }
-  for (std::size_t i = receivers.size(); i > 1; --i) {
-    std::swap(receivers[i - 1], receivers[this->options.random.Below(i)]);
-  }
+  Shuffle(receivers, this->options.random);
   const std::string plain = Encode(TicketMessage{ *header, body.has_value(), std::nullopt });
   std::size_t inlineLinks = 0;
   std::string full;
@@ -691,30 +708,62 @@
 // Membership
 
 void
-OverlayNode::FloodRecords(const std::vector<MemberRecord>& aRecords, LinkId aFrom, bool aToAll)
+OverlayNode::FloodRecords(const std::vector<MemberRecord>& aRecords, LinkId aFrom)
 {
-  std::vector<LinkId> receivers;
+  const std::string payload = Encode(RecordsMessage{ aRecords, true });
   for (const auto& link : this->links) {
     if (link.second.established && link.first != aFrom) {
+      this->SendPayload(link.first, RecordsMessage::kType, payload);
+    }
+  }
+}
+
+void
+OverlayNode::SendPendingRecords()
+{
+  if (this->pendingRecords.empty()) {
+    return;
+  }
+  // A record that came over one link only need not go back over it.
+  const LinkId from = this->pendingRecords.size() == 1 ? this->pendingRecords.begin()->second : kNoLink;
+  std::vector<LinkId> receivers;
+  for (const auto& link : this->links) {
+    if (link.second.established && link.first != from) {
       receivers.push_back(link.first);
     }
   }
-  for (std::size_t i = receivers.size(); i > 1; --i) {
-    std::swap(receivers[i - 1], receivers[this->options.random.Below(i)]);
+  if (receivers.empty()) {
+    return;
   }
-  if (!aToAll && receivers.size() > kRecordLinks) {
-    receivers.resize(kRecordLinks);
+  Shuffle(receivers, this->options.random);
+  receivers.resize(std::min(receivers.size(), kRecordLinks));
+  RecordsMessage message;
+  const auto send = [&] {
+    const std::string payload = Encode(message);
+    for (const LinkId link : receivers) {
+      this->SendPayload(link, RecordsMessage::kType, payload);
+    }
+    message.records.clear();
+  };
+  for (const auto& pending : this->pendingRecords) {
+    const MemberRecord* record = this->options.members.Find(pending.first);
+    if (record != nullptr) {
+      message.records.push_back(*record);
+    }
+    if (message.records.size() == kRecordsPerFrame) {
+      send();
+    }
   }
-  const std::string payload = Encode(RecordsMessage{ aRecords });
-  for (const LinkId link : receivers) {
-    this->SendPayload(link, RecordsMessage::kType, payload);
+  if (!message.records.empty()) {
+    send();
   }
+  this->pendingRecords.clear();
 }
 
 void
 OverlayNode::FloodSuspicion(const Suspicion& aSuspicion, LinkId aFrom)
 {
-  const std::string payload = Encode(SuspectMessage{ aSuspicion });
+  const std::string payload = Encode(SuspectMessage{ { aSuspicion } });
   for (const auto& link : this->links) {
     if (link.second.established && link.first != aFrom) {
       this->SendPayload(link.first, SuspectMessage::kType, payload);
@@ -723,50 +772,49 @@
 }
 
 void
-OverlayNode::Merge(const std::vector<MemberRecord>& aRecords, LinkId aFrom)
+OverlayNode::Merge(const std::vector<MemberRecord>& aRecords, LinkId aFrom, bool aNews)
 {
   std::vector<MemberRecord> urgent;
-  std::vector<MemberRecord> others;
   bool refute = false;
   for (const MemberRecord& record : aRecords) {
     const MergeResult result = this->options.members.ApplyRecord(record);
     refute = refute || result == MergeResult::kRefute;
-    if (result == MergeResult::kChanged) {
-      const bool stops = record.state == MemberState::kLeaving || record.state == MemberState::kGone;
-      (stops ? urgent : others).push_back(record);
+    if (result != MergeResult::kChanged) {
+      continue;
+    }
+    if (record.state == MemberState::kLeaving || record.state == MemberState::kGone) {
+      urgent.push_back(record);
+    } else if (aNews) {
+      this->pendingRecords[record.host] = aFrom;
     }
   }
   if (refute) {
-    this->FloodRecords({ this->options.members.Own() }, kNoLink, true);
+    this->FloodRecords({ this->options.members.Own() }, kNoLink);
   }
   if (!urgent.empty()) {
-    this->FloodRecords(urgent, aFrom, true);
-  }
-  // The answer to a comparison of tables is news to this node, not to the others.
-  constexpr std::size_t kNewsRecords = 16;
-  if (!others.empty() && aRecords.size() <= kNewsRecords) {
-    this->FloodRecords(others, aFrom, false);
+    this->FloodRecords(urgent, aFrom);
   }
 }
 
 void
 OverlayNode::OnRecords(LinkId aLink, Link&, RecordsMessage& aMessage)
 {
-  this->Merge(aMessage.records, aLink);
+  this->Merge(aMessage.records, aLink, aMessage.news);
 }
 
 void
 OverlayNode::OnSuspect(LinkId aLink, Link&, SuspectMessage& aMessage)
 {
-  switch (this->options.members.ApplySuspicion(aMessage.suspicion)) {
-    case MergeResult::kIgnored:
-      break;
-    case MergeResult::kChanged:
-      this->FloodSuspicion(aMessage.suspicion, aLink);
-      break;
-    case MergeResult::kRefute:
-      this->FloodRecords({ this->options.members.Own() }, kNoLink, true);
-      break;
+  bool refute = false;
+  for (const Suspicion& suspicion : aMessage.suspicions) {
+    const MergeResult result = this->options.members.ApplySuspicion(suspicion);
+    refute = refute || result == MergeResult::kRefute;
+    if (result == MergeResult::kChanged) {
+      this->FloodSuspicion(suspicion, aLink);
+    }
+  }
+  if (refute) {
+    this->FloodRecords({ this->options.members.Own() }, kNoLink);
   }
 }
 
@@ -783,6 +831,7 @@
 OverlayNode::SendDifference(LinkId aLink, const std::vector<std::uint64_t>& aHashes)
 {
   RecordsMessage message;
+  message.news = false;
   for (MemberRecord& record : this->options.members.Difference(aHashes)) {
     message.records.push_back(std::move(record));
     if (message.records.size() == kRecordsPerFrame) {
@@ -793,8 +842,9 @@
   if (!message.records.empty()) {
     this->Send(aLink, message);
   }
-  for (const Suspicion& report : this->options.members.BelievedReports(aHashes)) {
-    this->Send(aLink, SuspectMessage{ report });
+  SuspectMessage reports{ this->options.members.BelievedReports(aHashes) };
+  if (!reports.suspicions.empty()) {
+    this->Send(aLink, reports);
   }
 }
 
@@ -805,13 +855,18 @@
     aState.hashMismatches = 0;
     return;
   }
-  // One mismatch is common while an announcement travels. A newcomer does not wait.
-  const bool first = ++aState.hashMismatches == 1 && this->readiness.Ready();
   const TimePoint now = this->options.clock.Now();
-  if (first || now < aState.nextBuckets || this->options.members.Own().host > aState.host) {
+  const bool newcomer = !this->readiness.Ready();
+  // A newcomer asks by itself. Otherwise the side with the smaller name does, and not at the first mismatch,
+  // which is common while an announcement travels.
+  const bool byPeer = newcomer ? aState.digest.ready ? false : this->options.members.Own().host > aState.host
+                               : !aState.digest.ready || this->options.members.Own().host > aState.host;
+  const bool first = ++aState.hashMismatches == 1 && !newcomer;
+  if (byPeer || first || now < aState.nextBuckets || (newcomer && now < this->nextNewcomerCompare)) {
     return;
   }
   aState.nextBuckets = now + kBucketsInterval;
+  this->nextNewcomerCompare = now + kNewcomerCompareInterval;
   this->Send(aLink, BucketsMessage{ this->options.members.BucketHashes(), true });
 }
 
--- a/src/overlay/internal/overlaynode.h
+++ b/src/overlay/internal/overlaynode.h
@@ -93,9 +93,10 @@
   void AfterTickets();
   void SendPulls();
   void RepairTickets(LinkId aLink, const Link& aState);
-  void FloodRecords(const std::vector<MemberRecord>& aRecords, LinkId aFrom, bool aToAll);
+  void FloodRecords(const std::vector<MemberRecord>& aRecords, LinkId aFrom);
+  void SendPendingRecords();
   void FloodSuspicion(const Suspicion& aSuspicion, LinkId aFrom);
-  void Merge(const std::vector<MemberRecord>& aRecords, LinkId aFrom);
+  void Merge(const std::vector<MemberRecord>& aRecords, LinkId aFrom, bool aNews);
   void SendDigest(LinkId aLink, Link& aState);
   void CompareMembers(LinkId aLink, Link& aState);
   void SendDifference(LinkId aLink, const std::vector<std::uint64_t>& aHashes);
@@ -113,6 +114,9 @@
   std::map<std::string, Dial> dials;
   std::set<std::string> targets;
   Ref<const MemberView> view;
+  TimePoint nextChoice;                         ///< earliest time to choose peers anew
+  std::map<std::string, LinkId> pendingRecords; ///< hosts to announce at the next tick; link they came from
+  TimePoint nextNewcomerCompare;
   PullQueue pulls;
   TransferSource transferSource;
   TransferSink transferSink;
--- a/src/overlay/tests/messages_tests.cpp
+++ b/src/overlay/tests/messages_tests.cpp
@@ -16,6 +16,8 @@
   record.failureDomain = "centrs";
   record.region = "riga";
   record.peerEndpoint = { "127.0.0.1", 4000 };
+  record.callerEndpoint = { "127.0.0.1", 4001 };
+  record.adminEndpoint = { "127.0.0.2", 4002 };
   record.incarnation = { 12345ms, 7, 8 };
   record.sequence = 9;
   record.state = MemberState::kLeaving;
@@ -64,8 +66,8 @@
 {
   const std::string large(5000, 'x');
   return { Encode(HelloMessage{ Record() }),
-           Encode(RecordsMessage{ { Record(), Record() } }),
-           Encode(SuspectMessage{ { "a", { 1ms, 2, 3 }, 4, "b", "imanta" } }),
+           Encode(RecordsMessage{ { Record(), Record() }, true }),
+           Encode(SuspectMessage{ { { "a", { 1ms, 2, 3 }, 4, "b", "imanta" } } }),
            Encode(TicketMessage{ Header(), true, large }),
            Encode(PullMessage{ { 1, 2, 3 } }),
            Encode(BodiesMessage{ { { 1, "\xff\x00z" }, { 2, large } }, { 5 } }),
@@ -87,8 +89,18 @@
   REQUIRE(hello);
   REQUIRE(hello->record.host == "a");
   REQUIRE(hello->record.peerEndpoint == Endpoint{ "127.0.0.1", 4000 });
+  REQUIRE(hello->record.callerEndpoint == Record().callerEndpoint);
+  REQUIRE(hello->record.adminEndpoint == Record().adminEndpoint);
   REQUIRE(hello->record.incarnation == Record().incarnation);
   REQUIRE(hello->record.state == MemberState::kLeaving);
+  const auto suspect = TryDecode<SuspectMessage>(Samples()[2]);
+  REQUIRE(suspect);
+  REQUIRE(suspect->suspicions.size() == 1);
+  REQUIRE(suspect->suspicions[0].host == "a");
+  REQUIRE(suspect->suspicions[0].incarnation == Incarnation{ 1ms, 2, 3 });
+  REQUIRE(suspect->suspicions[0].sequence == 4);
+  REQUIRE(suspect->suspicions[0].reporter == "b");
+  REQUIRE(suspect->suspicions[0].reporterDomain == "imanta");
   const std::string body(100000, 'y');
   const auto ticket = TryDecode<TicketMessage>(Encode(TicketMessage{ Header(), true, body }));
   REQUIRE(ticket);
