Shorten digests and look for missing links only after a change

Digests were the most frequent frames and carried fields that nearly always have the same value. Each tick searched the links and the member table for each of 8 chosen peers.

A digest now leaves out the highest number when it is the one in force, an empty list of gaps, readiness and the first nonce; freshness goes to links of the own domain only, where alone it is used. Missing links are looked for only after a link or the view has changed.

--- a/src/overlay/internal/messages.cpp
+++ b/src/overlay/internal/messages.cpp
@@ -510,17 +510,24 @@
 Read(FieldReader& aReader, DigestMessage& aMessage)
 {
   constexpr std::uint64_t kMaxAgeMs = 1000ULL * 3600 * 24 * 3650;
+  constexpr std::uint64_t kMaxNonce = std::numeric_limits<std::uint32_t>::max();
   aMessage.inForce = aReader.Number("k", kMaxTicketNumber);
-  aMessage.highest = aReader.Number("h", kMaxTicketNumber);
-  aMessage.missing = aReader.List<TicketRange>("m", kMaxElements, ReadRange);
+  aMessage.highest = aReader.Has("h") ? aReader.Number("h", kMaxTicketNumber) : aMessage.inForce;
+  if (aReader.Has("m")) {
+    aMessage.missing = aReader.List<TicketRange>("m", kMaxElements, ReadRange);
+  }
   if (aReader.Has("f")) {
     aMessage.freshness = std::chrono::milliseconds(aReader.Number("f", kMaxAgeMs));
   }
   aMessage.membershipHash = aReader.Number("x");
   aMessage.listingVersion = aReader.Number("l");
-  aMessage.ready = aReader.Flag("r");
-  aMessage.nonce = static_cast<std::uint32_t>(aReader.Number("n", std::numeric_limits<std::uint32_t>::max()));
-  aMessage.echo = static_cast<std::uint32_t>(aReader.Number("e", std::numeric_limits<std::uint32_t>::max()));
+  aMessage.ready = !aReader.Has("r") || aReader.Flag("r");
+  if (aReader.Has("n")) {
+    aMessage.nonce = static_cast<std::uint32_t>(aReader.Number("n", kMaxNonce));
+  }
+  if (aReader.Has("e")) {
+    aMessage.echo = static_cast<std::uint32_t>(aReader.Number("e", kMaxNonce));
+  }
 }
 
 void
@@ -637,17 +644,29 @@
 std::string
 Encode(const DigestMessage& aMessage)
 {
-  Json missing = Json::array();
+  // Digests are the most frequent frames; values that are usual are left out.
+  const DigestMessage usual;
+  Json value = { { "k", aMessage.inForce },
+                 { "x", aMessage.membershipHash },
+                 { "l", aMessage.listingVersion } };
+  if (aMessage.highest != aMessage.inForce) {
+    value["h"] = aMessage.highest;
+  }
   for (const TicketRange& range : aMessage.missing) {
-    missing.push_back(Json::array({ range.first, range.last }));
+    value["m"].push_back(Json::array({ range.first, range.last }));
   }
-  Json value = { { "k", aMessage.inForce },        { "h", aMessage.highest },
-                 { "m", std::move(missing) },      { "x", aMessage.membershipHash },
-                 { "l", aMessage.listingVersion }, { "r", aMessage.ready },
-                 { "n", aMessage.nonce },          { "e", aMessage.echo } };
   if (aMessage.freshness) {
     value["f"] = static_cast<std::uint64_t>(aMessage.freshness->count());
   }
+  if (aMessage.ready != usual.ready) {
+    value["r"] = aMessage.ready;
+  }
+  if (aMessage.nonce != usual.nonce) {
+    value["n"] = aMessage.nonce;
+  }
+  if (aMessage.echo != usual.echo) {
+    value["e"] = aMessage.echo;
+  }
   return EncodeCbor(value);
 }
 
--- a/src/overlay/internal/messages.h
+++ b/src/overlay/internal/messages.h
@@ -67,9 +67,9 @@
   std::optional<std::chrono::milliseconds> freshness; ///< age of the domain's last contact with the service
   std::uint64_t membershipHash = 0;
   std::uint64_t listingVersion = 0;
-  bool ready = false;
-  std::uint32_t nonce = 0; ///< changes when the sender needs a new answer
-  std::uint32_t echo = 0;  ///< last nonce received on this link
+  bool ready = true;
+  std::uint32_t nonce = 1; ///< changes when the sender needs a new answer; 1 in a process that never paused
+  std::uint32_t echo = 1;  ///< last nonce received on this link; 0 for none
 };
 
 /// Hashes of the buckets of a member table that differs.
--- a/src/overlay/internal/overlaynode.cpp
+++ b/src/overlay/internal/overlaynode.cpp
@@ -272,6 +272,7 @@
     return;
   }
   this->view = current;
+  this->allLinked = false;
   this->nextChoice = now + kChoiceIntervalPerMember * current->members.size();
   this->targets = ChoosePeers(*this->view);
   this->rank = ReaderRank(*this->view);
@@ -297,6 +298,10 @@
 void
 OverlayNode::OpenMissingLinks()
 {
+  if (this->allLinked) {
+    return;
+  }
+  this->allLinked = true;
   const TimePoint now = this->options.clock.Now();
   std::set<std::string> wanted = this->targets;
   // A host whose link was lost is dialled once more, even if it is no chosen peer: only a failed attempt is
@@ -312,8 +317,12 @@
       this->dials.erase(host);
       continue;
     }
+    if (this->HasLinkTo(host)) {
+      continue;
+    }
+    this->allLinked = false;
     Dial& dial = this->dials[host];
-    if (now < dial.next || this->HasLinkTo(host)) {
+    if (now < dial.next) {
       continue;
     }
     const LinkId id = this->options.network.Open(record->peerEndpoint, LinkPurpose::kOverlay);
@@ -330,6 +339,7 @@
   if (aHost.empty()) {
     return;
   }
+  this->allLinked = false;
   const TimePoint now = this->options.clock.Now();
   Dial& dial = this->dials[aHost];
   dial.backoff = std::clamp(dial.backoff * 2, kFirstRedial, kLongestRedial);
@@ -408,6 +418,7 @@
     this->OnLinkDown(aLink);
     return;
   }
+  this->allLinked = false;
   this->links.erase(aLink);
   this->pulls.DropLink(aLink);
   this->transferSink.DropLink(aLink);
@@ -417,6 +428,7 @@
 OverlayNode::OnLinkUp(LinkId aLink, bool aOutbound)
 {
   this->CheckPause();
+  this->allLinked = false;
   Link& link = this->links[aLink];
   link.outbound = aOutbound;
   link.up = true;
@@ -434,6 +446,7 @@
   }
   const bool established = found->second.established;
   const std::string host = established ? found->second.host : found->second.target;
+  this->allLinked = false;
   this->links.erase(found);
   this->pulls.DropLink(aLink);
   this->transferSink.DropLink(aLink);
@@ -483,6 +496,7 @@
     this->options.members.LinkFailed(target);
   }
   const TimePoint now = this->options.clock.Now();
+  this->allLinked = false;
   aState.host = record.host;
   aState.domain = record.failureDomain;
   aState.incarnation = record.incarnation;
@@ -872,6 +886,16 @@
 
 // Digests
 
+DigestMessage
+OverlayNode::NoDigest()
+{
+  DigestMessage digest;
+  digest.ready = false;
+  digest.nonce = 0;
+  digest.echo = 0;
+  return digest;
+}
+
 void
 OverlayNode::SendDigest(LinkId aLink, Link& aState)
 {
@@ -883,7 +907,8 @@
   digest.inForce = this->options.store.InForce();
   digest.highest = this->options.store.Highest();
   digest.missing = this->options.store.Missing(kDigestRanges);
-  if (this->freshAt) {
+  // The freshness concerns the readers of one domain only.
+  if (this->freshAt && aState.domain == this->options.members.Own().failureDomain) {
     digest.freshness = std::chrono::duration_cast<milliseconds>(now - *this->freshAt);
   }
   digest.membershipHash = this->options.members.Hash();
--- a/src/overlay/internal/overlaynode.h
+++ b/src/overlay/internal/overlaynode.h
@@ -38,11 +38,14 @@
     TimePoint establishedAt;
     TimePoint nextDigest;
     TimePoint nextBuckets;
-    DigestMessage digest;              ///< last one received
+    DigestMessage digest = NoDigest(); ///< last one received
     int hashMismatches = 0;            ///< digests in a row with another membership hash
     std::set<TicketNumber> hasTickets; ///< tickets that the peer announced
   };
 
+  /// \return what is assumed of a peer before its first digest
+  static DigestMessage NoDigest();
+
   /// Attempts to reach a host.
   struct Dial
   {
@@ -117,6 +120,7 @@
   TimePoint nextChoice;                         ///< earliest time to choose peers anew
   std::map<std::string, LinkId> pendingRecords; ///< hosts to announce at the next tick; link they came from
   TimePoint nextNewcomerCompare;
+  bool allLinked = false; ///< no host is to be dialled until a link or the view changes
   PullQueue pulls;
   TransferSource transferSource;
   TransferSink transferSink;
