Send small ticket bodies inline to two links instead of three

Tickets were the largest part of the traffic: 583 B/s a node for 0.243 tickets/s of 1,500 bytes.

Nodes that neither of their peers chose pull after 100 ms.

--- a/src/overlay/internal/overlaynode.cpp
+++ b/src/overlay/internal/overlaynode.cpp
@@ -24,7 +24,7 @@
 constexpr std::size_t kInlineBytes = 2048;
 // Larger bodies go inline to this many links only; all links would cost more than 12 KB a change and node.
 constexpr std::size_t kInlineToAllBytes = 256;
-constexpr std::size_t kInlineLinks = 3;
+constexpr std::size_t kInlineLinks = 2;
 // Time in which an inline body may still arrive from another peer before it is pulled.
 constexpr milliseconds kInlineGrace{ 100 };
 constexpr milliseconds kDigestGrace{ 300 };
