--- a/src/membership/imembertable.h
+++ b/src/membership/imembertable.h
@@ -84,7 +84,7 @@
   /// \return hash of each bucket
   virtual const std::vector<std::uint64_t>& BucketHashes() const = 0;
 
-  /// \return the announced records in buckets whose hash differs from the given ones
+  /// \return the announced records in buckets where announcements differ from those behind the given hashes
   /// \param aHashes kBuckets hashes of another table; other sizes yield nothing
   virtual std::vector<MemberRecord> Difference(const std::vector<std::uint64_t>& aHashes) const = 0;
 
--- a/src/membership/internal/membertable.cpp
+++ b/src/membership/internal/membertable.cpp
@@ -15,6 +15,11 @@
 // Two failure domains decide; a third one is spare, and more would only add traffic.
 constexpr std::size_t kMaxReportingDomains = 3;
 
+// A hash has two halves, one of what members announce and one of which of them are believed unreachable.
+// After the loss of a region nodes differ in the second half of most buckets, and need not exchange records.
+constexpr std::uint64_t kRecordHalf = 0xffffffff;
+constexpr std::uint64_t kBeliefHalf = ~kRecordHalf;
+
 bool
 Newer(const MemberRecord& aRecord, const MemberRecord& aKnown)
 {
@@ -65,7 +70,9 @@
   if (Announced(aMember) && record.state != MemberState::kGone) {
     const std::uint64_t run =
       Hash64(record.host, aMember.record.incarnation.high ^ aMember.record.incarnation.low);
-    contribution = Hash64(aMember.believed ? "unreachable" : "reachable", run ^ record.sequence);
+    const std::uint64_t said = Hash64("record", run ^ record.sequence) & kRecordHalf;
+    const std::uint64_t believed = Hash64("unreachable", run ^ record.sequence) & kBeliefHalf;
+    contribution = said | (aMember.believed ? believed : 0);
   }
   const std::uint64_t change = contribution ^ aMember.contribution;
   this->hash ^= change;
@@ -351,7 +358,7 @@
   }
   for (const auto& entry : this->members) {
     const std::size_t bucket = BucketOf(entry.first);
-    if (Announced(entry.second) && aHashes[bucket] != this->buckets[bucket]) {
+    if (Announced(entry.second) && ((aHashes[bucket] ^ this->buckets[bucket]) & kRecordHalf) != 0) {
       records.push_back(entry.second.record);
     }
   }
@@ -369,7 +376,7 @@
   for (const std::string& host : this->timed) {
     const Member& member = this->members.at(host);
     const std::size_t bucket = BucketOf(host);
-    if (member.believed && aHashes[bucket] != this->buckets[bucket]) {
+    if (member.believed && ((aHashes[bucket] ^ this->buckets[bucket]) & kBeliefHalf) != 0) {
       for (const auto& report : member.reports) {
         reports.push_back(report.second);
       }
--- a/src/overlay/internal/overlaynode.cpp
+++ b/src/overlay/internal/overlaynode.cpp
@@ -41,8 +41,13 @@
 // A newcomer takes a transfer unless the whole history is as short as this.
 constexpr TicketNumber kShortHistory = 8;
 constexpr seconds kBucketsInterval{ 3 };
-// A newcomer compares tables with one peer at a time: each peer would send it the whole table.
-constexpr seconds kNewcomerCompareInterval{ 1 };
+// A node compares tables with one peer at a time: each peer would send a newcomer the whole table.
+constexpr seconds kCompareInterval{ 1 };
+// While reports of a mass loss spread, tables differ everywhere and comparisons help little.
+constexpr seconds kLoadedCompareInterval{ 10 };
+constexpr std::size_t kReportsPerComparison = 64;
+// Queued reports go to this many links; comparisons of tables repair what is missed.
+constexpr std::size_t kQueuedReportLinks = 3;
 // Choosing peers takes about 0.3 us a member; the interval bounds it to 0.2 % of a core.
 constexpr std::chrono::microseconds kChoiceIntervalPerMember{ 150 };
 constexpr std::size_t kAlwaysReaders = 2;
@@ -227,6 +232,7 @@
   this->transferSink.Tick(now);
   this->SendPulls();
   this->SendPendingRecords();
+  this->SendQueuedReports();
   this->TickReader();
   this->PollHostList();
   this->Evaluate();
@@ -740,17 +746,10 @@
   }
   // A record that came over one link only need not go back over it.
   const LinkId from = this->pendingRecords.size() == 1 ? this->pendingRecords.begin()->second : kNoLink;
-  std::vector<LinkId> receivers;
-  for (const auto& link : this->links) {
-    if (link.second.established && link.first != from) {
-      receivers.push_back(link.first);
-    }
-  }
+  const std::vector<LinkId> receivers = this->RandomLinks(kRecordLinks, from);
   if (receivers.empty()) {
     return;
   }
-  Shuffle(receivers, this->options.random);
-  receivers.resize(std::min(receivers.size(), kRecordLinks));
   RecordsMessage message;
   const auto send = [&] {
     const std::string payload = Encode(message);
@@ -777,6 +776,9 @@
 void
 OverlayNode::FloodSuspicion(const Suspicion& aSuspicion, LinkId aFrom)
 {
+  if (!this->reports.Pass(aSuspicion, this->options.clock.Now())) {
+    return;
+  }
   const std::string payload = Encode(SuspectMessage{ { aSuspicion } });
   for (const auto& link : this->links) {
     if (link.second.established && link.first != aFrom) {
@@ -785,6 +787,44 @@
   }
 }
 
+void
+OverlayNode::SendQueuedReports()
+{
+  if (!this->reports.Loaded()) {
+    return;
+  }
+  SuspectMessage message;
+  for (Suspicion& report : this->reports.Due(this->options.clock.Now())) {
+    const MemberRecord* record = this->options.members.Find(report.host);
+    const bool current =
+      record != nullptr && record->incarnation == report.incarnation && record->sequence <= report.sequence;
+    if (current) {
+      message.suspicions.push_back(std::move(report));
+    }
+  }
+  if (message.suspicions.empty()) {
+    return;
+  }
+  const std::string payload = Encode(message);
+  for (const LinkId link : this->RandomLinks(kQueuedReportLinks, kNoLink)) {
+    this->SendPayload(link, SuspectMessage::kType, payload);
+  }
+}
+
+std::vector<LinkId>
+OverlayNode::RandomLinks(std::size_t aCount, LinkId aExcept)
+{
+  std::vector<LinkId> chosen;
+  for (const auto& link : this->links) {
+    if (link.second.established && link.first != aExcept) {
+      chosen.push_back(link.first);
+    }
+  }
+  Shuffle(chosen, this->options.random);
+  chosen.resize(std::min(chosen.size(), aCount));
+  return chosen;
+}
+
 void
 OverlayNode::Merge(const std::vector<MemberRecord>& aRecords, LinkId aFrom, bool aNews)
 {
@@ -856,9 +896,16 @@
   if (!message.records.empty()) {
     this->Send(aLink, message);
   }
-  SuspectMessage reports{ this->options.members.BelievedReports(aHashes) };
-  if (!reports.suspicions.empty()) {
-    this->Send(aLink, reports);
+  SuspectMessage believed{ this->options.members.BelievedReports(aHashes) };
+  std::vector<Suspicion>& list = believed.suspicions;
+  if (list.size() > kReportsPerComparison) {
+    // A random part each time, so that repeated comparisons cover all.
+    const auto start = static_cast<std::ptrdiff_t>(this->options.random.Below(list.size()));
+    std::rotate(list.begin(), list.begin() + start, list.end());
+    list.resize(kReportsPerComparison);
+  }
+  if (!list.empty()) {
+    this->Send(aLink, believed);
   }
 }
 
@@ -876,11 +923,12 @@
   const bool byPeer = newcomer ? aState.digest.ready ? false : this->options.members.Own().host > aState.host
                                : !aState.digest.ready || this->options.members.Own().host > aState.host;
   const bool first = ++aState.hashMismatches == 1 && !newcomer;
-  if (byPeer || first || now < aState.nextBuckets || (newcomer && now < this->nextNewcomerCompare)) {
+  if (byPeer || first || now < aState.nextBuckets || now < this->nextCompare) {
     return;
   }
+  const bool loaded = this->reports.Loaded() && !newcomer;
   aState.nextBuckets = now + kBucketsInterval;
-  this->nextNewcomerCompare = now + kNewcomerCompareInterval;
+  this->nextCompare = now + (loaded ? kLoadedCompareInterval : kCompareInterval);
   this->Send(aLink, BucketsMessage{ this->options.members.BucketHashes(), true });
 }
 
--- a/src/overlay/internal/overlaynode.h
+++ b/src/overlay/internal/overlaynode.h
@@ -6,6 +6,7 @@
 #include "overlay/internal/peerchoice.h"
 #include "overlay/internal/pullqueue.h"
 #include "overlay/internal/readiness.h"
+#include "overlay/internal/reportqueue.h"
 #include "overlay/internal/statetransfer.h"
 #include "overlay/overlay.h"
 #include <map>
@@ -98,6 +99,8 @@
   void RepairTickets(LinkId aLink, const Link& aState);
   void FloodRecords(const std::vector<MemberRecord>& aRecords, LinkId aFrom);
   void SendPendingRecords();
+  void SendQueuedReports();
+  std::vector<LinkId> RandomLinks(std::size_t aCount, LinkId aExcept);
   void FloodSuspicion(const Suspicion& aSuspicion, LinkId aFrom);
   void Merge(const std::vector<MemberRecord>& aRecords, LinkId aFrom, bool aNews);
   void SendDigest(LinkId aLink, Link& aState);
@@ -119,7 +122,8 @@
   Ref<const MemberView> view;
   TimePoint nextChoice;                         ///< earliest time to choose peers anew
   std::map<std::string, LinkId> pendingRecords; ///< hosts to announce at the next tick; link they came from
-  TimePoint nextNewcomerCompare;
+  TimePoint nextCompare;                        ///< earliest time to compare tables with any peer
+  ReportQueue reports;
   bool allLinked = false; ///< no host is to be dialled until a link or the view changes
   PullQueue pulls;
   TransferSource transferSource;
