Keep one wrong highest number from spreading and divide large listings

A node noted the highest number that any peer named and named it on. One wrong number then made all nodes take the service for stale, and kept newcomers not ready for ever. A listing of 10,000 hosts did not fit into a frame.

A store now notes only numbers it holds or the service named. A newcomer drops a target after 10 s without progress down to the second highest number in force among its answers, or to the service's head when only one peer answered. Listings are sent in parts of half a frame, which apply when all have come in order over one link.

--- a/src/overlay/internal/listinglog.cpp
+++ b/src/overlay/internal/listinglog.cpp
@@ -9,6 +9,67 @@
 // Peers that lag by more removals than this get the whole list.
 constexpr std::size_t kMaxRemovals = 4096;
 
+// Half of a frame, because the sizes of elements are estimates.
+constexpr std::size_t kPartBytes = kMaxFrameBytes / 2;
+// Field names, lengths, ports and flags of a row.
+constexpr std::size_t kRowOverhead = 64;
+
+std::size_t
+SizeOf(const ListedHost& aHost)
+{
+  return kRowOverhead + aHost.host.size() + aHost.failureDomain.size() + aHost.region.size() +
+         aHost.peerEndpoint.address.size() + aHost.callerEndpoint.address.size() +
+         aHost.adminEndpoint.address.size();
+}
+
+std::size_t
+SizeOf(const std::string& aName)
+{
+  constexpr std::size_t kLengthBytes = 3;
+  return kLengthBytes + aName.size();
+}
+
+/// Divides the changes of a listing into parts.
+class PartBuilder
+{
+public:
+  PartBuilder(std::uint64_t aBase, std::uint64_t aVersion)
+  {
+    this->parts.emplace_back();
+    this->parts.back().base = aBase;
+    this->parts.back().version = aVersion;
+  }
+
+  template<class T>
+  void Add(std::vector<T> ListingMessage::*aList, const T& aElement)
+  {
+    if (this->size + SizeOf(aElement) > kPartBytes) {
+      ListingMessage next;
+      next.base = this->parts.back().base;
+      next.version = this->parts.back().version;
+      next.part = this->parts.size();
+      this->parts.back().last = false;
+      this->parts.push_back(std::move(next));
+      this->size = 0;
+    }
+    this->size += SizeOf(aElement);
+    (this->parts.back().*aList).push_back(aElement);
+  }
+
+  std::vector<ListingMessage> Take() { return std::move(this->parts); }
+
+private:
+  std::vector<ListingMessage> parts;
+  std::size_t size = 0;
+};
+
+template<class T>
+void
+Append(std::vector<T>& aTo, const std::vector<T>& aFrom)
+{
+  aTo.insert(aTo.end(), aFrom.begin(), aFrom.end());
+}
+
 bool
 Same(const ListedHost& aLeft, const ListedHost& aRight)
 {
@@ -71,7 +132,37 @@
 }
 
 bool
-ListingLog::Apply(const ListingMessage& aMessage)
+ListingLog::Apply(const ListingMessage& aMessage, LinkId aSource)
+{
+  if (aMessage.version <= this->version) {
+    return false;
+  }
+  if (aMessage.part == 0) {
+    this->partial = aMessage;
+    this->partialSource = aSource;
+  } else {
+    const ListingMessage& known = this->partial;
+    const bool follows = aSource == this->partialSource && aMessage.version == known.version &&
+                         aMessage.base == known.base && aMessage.part == known.part + 1 && !known.last;
+    if (!follows) {
+      return false;
+    }
+    Append(this->partial.hosts, aMessage.hosts);
+    Append(this->partial.removed, aMessage.removed);
+    Append(this->partial.leavingServers, aMessage.leavingServers);
+    this->partial.part = aMessage.part;
+    this->partial.last = aMessage.last;
+  }
+  if (!this->partial.last) {
+    return false;
+  }
+  const ListingMessage whole = std::move(this->partial);
+  this->partial = {};
+  return this->ApplyWhole(whole);
+}
+
+bool
+ListingLog::ApplyWhole(const ListingMessage& aMessage)
 {
   if (aMessage.base == 0) {
     return this->Apply(HostListing{ aMessage.version, aMessage.hosts, aMessage.leavingServers });
@@ -90,25 +181,25 @@
   return true;
 }
 
-ListingMessage
+std::vector<ListingMessage>
 ListingLog::Since(std::uint64_t aVersion) const
 {
   const bool whole = aVersion == 0 || aVersion < this->complete;
-  ListingMessage message;
-  message.base = whole ? 0 : aVersion;
-  message.version = this->version;
-  message.leavingServers = this->leavingServers;
+  PartBuilder builder(whole ? 0 : aVersion, this->version);
   for (const auto& row : this->rows) {
     if (whole || row.second.changed > aVersion) {
-      message.hosts.push_back(row.second.host);
+      builder.Add(&ListingMessage::hosts, row.second.host);
     }
   }
   for (const auto& removal : this->removals) {
     if (!whole && removal.second > aVersion) {
-      message.removed.push_back(removal.first);
+      builder.Add(&ListingMessage::removed, removal.first);
     }
   }
-  return message;
+  for (const std::string& server : this->leavingServers) {
+    builder.Add(&ListingMessage::leavingServers, server);
+  }
+  return builder.Take();
 }
 
 HostListing
--- a/src/overlay/internal/listinglog.h
+++ b/src/overlay/internal/listinglog.h
@@ -14,12 +14,13 @@
   /// \return whether it is newer
   bool Apply(const HostListing& aListing);
 
-  /// Takes over a peer's changes.
-  /// \return whether they are newer and apply to the current version
-  bool Apply(const ListingMessage& aMessage);
+  /// Takes over a part of a peer's changes. They apply when all parts have come in their order.
+  /// \param aSource link that the part came over
+  /// \return whether the changes are complete, newer and apply to the current version
+  bool Apply(const ListingMessage& aMessage, LinkId aSource);
 
-  /// \return what a peer at a version lacks
-  ListingMessage Since(std::uint64_t aVersion) const;
+  /// \return what a peer at a version lacks, in parts that fit into a frame each
+  std::vector<ListingMessage> Since(std::uint64_t aVersion) const;
 
   /// \return the whole list
   HostListing Listing() const;
@@ -36,6 +37,7 @@
     std::uint64_t changed = 0;
   };
 
+  bool ApplyWhole(const ListingMessage& aMessage);
   void Set(const ListedHost& aHost, std::uint64_t aVersion);
   void Remove(const std::string& aHost, std::uint64_t aVersion);
 
@@ -44,6 +46,8 @@
   std::map<std::string, Row> rows;
   std::map<std::string, std::uint64_t> removals;
   std::vector<std::string> leavingServers;
+  ListingMessage partial; ///< parts received so far
+  LinkId partialSource = 0;
 };
 
 } // namespace yp
--- a/src/overlay/internal/messages.cpp
+++ b/src/overlay/internal/messages.cpp
@@ -12,6 +12,8 @@
 constexpr std::size_t kMaxElements = 100000;
 // Exact in every JSON reader, and far enough from overflow for sums of ticket numbers.
 constexpr std::uint64_t kMaxTicketNumber = 1ULL << 53;
+// Bounds the memory that a peer's listing takes.
+constexpr std::uint64_t kMaxListingParts = 64;
 constexpr std::size_t kCompressFrom = 1024;
 // Level 1: bodies are compressed on the control thread.
 constexpr int kCompressionLevel = 1;
@@ -575,6 +577,8 @@
   aMessage.hosts = aReader.List<ListedHost>("h", kMaxElements, ReadListedHost);
   aMessage.removed = aReader.List<std::string>("x", kMaxElements, ReadText);
   aMessage.leavingServers = aReader.List<std::string>("s", kMaxElements, ReadText);
+  aMessage.part = aReader.Number("p", kMaxListingParts);
+  aMessage.last = aReader.Flag("z");
 }
 
 void
@@ -724,6 +728,8 @@
   Json value = { { "b", aMessage.base }, { "v", aMessage.version }, { "h", std::move(hosts) } };
   value["x"] = aMessage.removed;
   value["s"] = aMessage.leavingServers;
+  value["p"] = aMessage.part;
+  value["z"] = aMessage.last;
   return EncodeCbor(value);
 }
 
--- a/src/overlay/internal/messages.h
+++ b/src/overlay/internal/messages.h
@@ -115,6 +115,8 @@
   std::vector<ListedHost> hosts;
   std::vector<std::string> removed;
   std::vector<std::string> leavingServers;
+  std::uint64_t part = 0; ///< position among the parts of these changes
+  bool last = true;       ///< no part follows
 };
 
 /// The sender closes the link on purpose.
--- a/src/overlay/internal/overlaynode.cpp
+++ b/src/overlay/internal/overlaynode.cpp
@@ -601,13 +601,15 @@
 OverlayNode::OnTicket(LinkId aLink, Link& aState, TicketMessage& aMessage)
 {
   const TicketNumber number = aMessage.header.number;
-  if (number <= this->options.store.InForce()) {
+  // Digests bring what is further ahead. One wrong number must not become the highest known to all: nodes
+  // would take the service for stale, and newcomers would wait for it.
+  const TicketNumber inForce = this->options.store.InForce();
+  if (number <= inForce || number > inForce + kLongestPulledGap) {
     return;
   }
   if (aState.hasTickets.size() < kLongestPulledGap) {
     aState.hasTickets.insert(number);
   }
-  this->options.store.NoteHighest(number);
   if (this->options.store.Header(number)) {
     return;
   }
@@ -686,7 +688,8 @@
 OverlayNode::OnBodies(LinkId aLink, Link& aState, BodiesMessage& aMessage)
 {
   for (const auto& body : aMessage.bodies) {
-    if (!this->pulls.Matches(body.first, body.second)) {
+    const bool near = body.first <= this->options.store.InForce() + kLongestPulledGap;
+    if (!near || !this->pulls.Matches(body.first, body.second)) {
       ++this->malformed;
       this->pulls.Absent(body.first, aLink);
       continue;
@@ -974,7 +977,6 @@
   const bool asks = aMessage.nonce != aState.digest.nonce;
   aState.digest = std::move(aMessage);
   const DigestMessage& digest = aState.digest;
-  this->options.store.NoteHighest(std::max(digest.inForce, digest.highest));
   this->readiness.OnAnswer(aState.host, aState.domain, digest, now);
   if (digest.freshness && aState.domain == this->options.members.Own().failureDomain) {
     const TimePoint contact = now - *digest.freshness;
@@ -1013,12 +1015,11 @@
       return aNumber >= aRange.first && aNumber <= aRange.last;
     });
   };
-  for (const TicketRange& range : this->options.store.Missing(kDigestRanges)) {
-    const TicketNumber last = std::min({ range.last, top, inForce + kLongestPulledGap });
-    for (TicketNumber number = range.first; number <= last; ++number) {
-      if (has(number)) {
-        this->pulls.Want(number, aLink, now + kDigestGrace);
-      }
+  // What a peer names is not noted in the store, because it may be wrong.
+  const TicketNumber last = std::min(top, inForce + kLongestPulledGap);
+  for (TicketNumber number = inForce + 1; number <= last; ++number) {
+    if (has(number) && !this->options.store.Header(number)) {
+      this->pulls.Want(number, aLink, now + kDigestGrace);
     }
   }
 }
@@ -1029,14 +1030,16 @@
 OverlayNode::OnListingRequest(LinkId aLink, Link&, ListingRequestMessage& aMessage)
 {
   if (aMessage.version < this->listing.Version()) {
-    this->Send(aLink, this->listing.Since(aMessage.version));
+    for (const ListingMessage& part : this->listing.Since(aMessage.version)) {
+      this->Send(aLink, part);
+    }
   }
 }
 
 void
-OverlayNode::OnListing(LinkId, Link&, ListingMessage& aMessage)
+OverlayNode::OnListing(LinkId aLink, Link&, ListingMessage& aMessage)
 {
-  this->TakeListing(this->listing.Apply(aMessage));
+  this->TakeListing(this->listing.Apply(aMessage, aLink));
 }
 
 void
--- a/src/overlay/internal/readiness.cpp
+++ b/src/overlay/internal/readiness.cpp
@@ -1,5 +1,6 @@
 #include "overlay/internal/readiness.h"
 #include <algorithm>
+#include <vector>
 
 namespace yp {
 
@@ -10,6 +11,8 @@
 constexpr std::size_t kDomainsAsked = 5;
 // Answers of other regions take one round trip; later ones are not waited for.
 constexpr seconds kAnswerWindow{ 1 };
+// A target that one peer alone names is dropped after this time without progress.
+constexpr seconds kUnsupportedWait{ 10 };
 constexpr seconds kServiceAloneWait{ 3 };
 constexpr seconds kServiceWithOthersWait{ 10 };
 
@@ -27,6 +30,7 @@
   this->since = aNow;
   this->firstAnswer.reset();
   this->answerDomains.clear();
+  this->answers.clear();
   this->target = 0;
   this->serviceHead.reset();
   this->Wait("paused; no exchange since");
@@ -45,6 +49,7 @@
   if (!this->firstAnswer) {
     this->firstAnswer = aNow;
   }
+  this->answers[aHost] = aDigest.inForce;
   const bool open = aNow - *this->firstAnswer < kAnswerWindow && this->answerDomains.size() < kDomainsAsked;
   if (open) {
     this->answerDomains.insert(aDomain);
@@ -79,9 +84,27 @@
   this->reason.clear();
 }
 
+std::optional<TicketNumber>
+Readiness::SupportedTarget() const
+{
+  if (this->answers.size() < 2) {
+    return this->serviceHead;
+  }
+  std::vector<TicketNumber> numbers;
+  for (const auto& answer : this->answers) {
+    numbers.push_back(answer.second);
+  }
+  std::sort(numbers.begin(), numbers.end());
+  return numbers[numbers.size() - 2];
+}
+
 void
 Readiness::Evaluate(TimePoint aNow, TicketNumber aInForce, bool aOthersListed)
 {
+  if (aInForce > this->lastInForce) {
+    this->lastInForce = aInForce;
+    this->progressAt = aNow;
+  }
   if (this->ready) {
     return;
   }
@@ -92,6 +115,10 @@
       this->Wait("collecting answers of peers");
       return;
     }
+    const TimePoint waitsSince = std::max(*this->firstAnswer, this->progressAt);
+    if (aInForce < this->target && aNow - waitsSince >= kUnsupportedWait) {
+      this->target = std::min(this->target, this->SupportedTarget().value_or(this->target));
+    }
     this->CatchUp(aInForce, this->target);
     return;
   }
--- a/src/overlay/internal/readiness.h
+++ b/src/overlay/internal/readiness.h
@@ -40,6 +40,7 @@
 private:
   void Wait(std::string aReason);
   void CatchUp(TicketNumber aInForce, TicketNumber aTarget);
+  std::optional<TicketNumber> SupportedTarget() const;
 
   std::uint32_t nonce = 1;
   TimePoint since;
@@ -48,7 +49,10 @@
   std::string reason = "no answer yet";
   std::optional<TimePoint> firstAnswer;
   std::set<std::string> answerDomains;
+  std::map<std::string, TicketNumber> answers; ///< number in force of each peer that answered
   TicketNumber target = 0;
+  TicketNumber lastInForce = 0;
+  TimePoint progressAt; ///< when the number in force last rose
   std::optional<TicketNumber> serviceHead;
 };
 
--- a/src/overlay/tests/messages_tests.cpp
+++ b/src/overlay/tests/messages_tests.cpp
@@ -76,7 +76,8 @@
            Encode(TransferRequestMessage{ 4, 3 }),
            Encode(TransferChunkMessage{ 9, 2, { { 3, large } }, { Header() }, true }),
            Encode(ListingRequestMessage{ 3 }),
-           Encode(ListingMessage{ 1, 2, { { "a", "centrs", "riga", {}, {}, {}, true } }, { "b" }, { "s" } }),
+           Encode(ListingMessage{
+             1, 2, { { "a", "centrs", "riga", {}, {}, {}, true } }, { "b" }, { "s" }, 1, false }),
            Encode(ByeMessage{}) };
 }
 
--- a/src/overlay/tests/overlay_tests.cpp
+++ b/src/overlay/tests/overlay_tests.cpp
@@ -285,6 +285,133 @@
   }
 }
 
+// Guards against one peer with a wrong highest number that makes the service look stale to all, spreads its
+// number, or keeps newcomers from becoming ready.
+TEST_CASE("a wrong highest number of one node harms no other")
+{
+  FakeWorld world(10, { 2, 2, 4 });
+  StartReady(world);
+  const std::size_t wrong = 2;
+  const TicketNumber claimed = 1000000;
+  world.Store(wrong).NoteHighest(claimed);
+  world.RunFor(10s);
+  world.Publish();
+  REQUIRE(world.RunUntil(kConvergence, [&] { return world.Converged(); }));
+  const bool withService = GENERATE(true, false);
+  if (!withService) {
+    world.SetServiceMode(FakeWorld::ServiceMode::kDown);
+  }
+  const std::vector<std::size_t> newcomers{ 0, 5, 9, 13 };
+  for (const std::size_t newcomer : newcomers) {
+    world.Kill(newcomer);
+    world.RunFor(1s);
+    world.Start(newcomer);
+  }
+  REQUIRE(world.RunUntil(20s, [&] { return world.AllReady(); }));
+  for (std::size_t i = 0; i < world.Size(); ++i) {
+    REQUIRE((i == wrong || world.Store(i).Highest() == world.Head()));
+    REQUIRE((i == wrong || !world.Overlay(i).Status().reader.stale));
+  }
+}
+
+// Guards against a domain that stops reading with its first readers, and against all nodes reading then.
+TEST_CASE("the next rank reads when the first readers are paused")
+{
+  FakeWorld world(11, { 1, 1, 10 });
+  StartReady(world);
+  std::map<std::size_t, std::size_t> nodeOfRank;
+  for (std::size_t i = 0; i < world.Size(); ++i) {
+    nodeOfRank[world.Overlay(i).Status().readerRank] = i;
+  }
+  REQUIRE(nodeOfRank.size() == world.Size());
+  world.Pause(nodeOfRank[0]);
+  world.Pause(nodeOfRank[1]);
+  const auto calls = [&](std::size_t aRank) {
+    const auto found = world.ServiceCalls().find(nodeOfRank[aRank]);
+    return found == world.ServiceCalls().end() ? 0 : found->second.size();
+  };
+  std::map<std::size_t, std::size_t> before;
+  for (std::size_t rank = 0; rank < world.Size(); ++rank) {
+    before[rank] = calls(rank);
+  }
+  const TicketNumber number = world.Publish();
+  const auto known = [&] {
+    for (std::size_t rank = 2; rank < world.Size(); ++rank) {
+      if (world.Store(nodeOfRank[rank]).InForce() < number) {
+        return false;
+      }
+    }
+    return true;
+  };
+  // Rank 2 reads after three steps of 2 s without contact, or earlier once it sees that the others are gone.
+  world.RunFor(1500ms);
+  REQUIRE_FALSE(known());
+  REQUIRE(world.RunUntil(5500ms, known));
+  world.RunFor(20s);
+  REQUIRE(calls(2) > before[2]);
+  for (std::size_t rank = 7; rank < world.Size(); ++rank) {
+    REQUIRE(calls(rank) == before[rank]);
+  }
+}
+
+namespace {
+
+/// Traffic of reports that one node has sent.
+std::uint64_t
+ReportBytes(FakeWorld& aWorld, std::size_t aNode)
+{
+  const OverlayStatus status = aWorld.Overlay(aNode).Status();
+  const auto found = status.frames.find("suspect");
+  return found == status.frames.end() ? 0 : found->second.bytesOut;
+}
+
+/// \return share of the pairs of survivor and lost host in which the survivor knows of the loss
+double
+ShareKnown(FakeWorld& aWorld)
+{
+  double known = 0;
+  double pairs = 0;
+  for (std::size_t i = 0; i < aWorld.Size(); ++i) {
+    for (std::size_t lost = 0; aWorld.Running(i) && lost < aWorld.Size(); ++lost) {
+      if (!aWorld.Running(lost)) {
+        known += aWorld.Members(i).View()->Find(aWorld.Host(lost).host)->unreachable ? 1 : 0;
+        pairs += 1;
+      }
+    }
+  }
+  return known / pairs;
+}
+
+} // namespace
+
+// Guards against a rate limit that delays the knowledge of a single failure.
+TEST_CASE("a single failure is known everywhere within 10 s")
+{
+  FakeWorld world(12, { 3, 2, 10 });
+  StartReady(world);
+  world.Kill(7);
+  REQUIRE(world.RunUntil(10s, [&] { return ShareKnown(world) == 1.0; }));
+}
+
+// Guards against reports of a lost region that take all control traffic.
+TEST_CASE("the loss of a region costs a bounded amount of reports")
+{
+  FakeWorld world(13, { 3, 2, 15 });
+  StartReady(world);
+  const std::size_t lost = world.Size() / 3;
+  for (std::size_t i = 0; i < lost; ++i) {
+    world.Kill(i);
+  }
+  world.RunFor(40s);
+  REQUIRE(ShareKnown(world) >= 0.99);
+  // Of at least 90 reports, those beyond the burst go to 3 links instead of some 15; without the limit a node
+  // sends 93 KB here.
+  constexpr std::uint64_t kMostBytes = 65000;
+  for (std::size_t i = lost; i < world.Size(); ++i) {
+    REQUIRE(ReportBytes(world, i) <= kMostBytes);
+  }
+}
+
 // Guards against combinations of faults after which the fleet does not converge. In force never decreasing
 // and the whole prefix being applied are checked after each event.
 TEST_CASE("random faults heal")
