Keep the whole fleet from reading the service at a simultaneous start

A node ranked itself among the members that had announced themselves. At a simultaneous start hardly any had, so nearly all nodes held themselves to be the first reader and read at the full rate: 124 calls in the largest second at 200 nodes, growing with the fleet.

For the first 10 s of a process listed hosts that were not heard of count as running in the rank.

--- a/src/overlay/internal/overlaynode.cpp
+++ b/src/overlay/internal/overlaynode.cpp
@@ -53,6 +53,9 @@
 constexpr std::size_t kAlwaysReaders = 2;
 constexpr std::size_t kMaxReaders = 5;
 constexpr seconds kEscalationStep{ 2 };
+// When the fleet starts at once, a node hears of most others within this time. Until then it takes listed
+// hosts for running, because otherwise all nodes would hold themselves to be the first reader.
+constexpr seconds kEarlyTime{ 10 };
 constexpr seconds kListPollInterval{ 3 };
 constexpr seconds kListCallTimeout{ 10 };
 constexpr seconds kListConfirms{ 30 };
@@ -77,7 +80,8 @@
 OverlayNode::OverlayNode(OverlayOptions aOptions)
   : options(std::move(aOptions))
   , readiness(this->options.clock.Now())
-  , lastTick(this->options.clock.Now())
+  , startedAt(this->options.clock.Now())
+  , lastTick(this->startedAt)
   , knownSince(this->lastTick)
   , lastInForce(this->options.store.InForce())
   , nextListPoll(this->lastTick)
@@ -273,15 +277,17 @@
   if (this->view && now < this->nextChoice) {
     return;
   }
+  const bool early = now - this->startedAt < kEarlyTime;
   const Ref<const MemberView> current = this->options.members.View();
-  if (current == this->view) {
+  if (current == this->view && early == this->rankedEarly) {
     return;
   }
+  this->rankedEarly = early;
   this->view = current;
   this->allLinked = false;
   this->nextChoice = now + kChoiceIntervalPerMember * current->members.size();
   this->targets = ChoosePeers(*this->view);
-  this->rank = ReaderRank(*this->view);
+  this->rank = ReaderRank(*this->view, early);
 }
 
 // Links
@@ -921,12 +927,13 @@
   }
   const TimePoint now = this->options.clock.Now();
   const bool newcomer = !this->readiness.Ready();
-  // A newcomer asks by itself. Otherwise the side with the smaller name does, and not at the first mismatch,
-  // which is common while an announcement travels.
-  const bool byPeer = newcomer ? aState.digest.ready ? false : this->options.members.Own().host > aState.host
-                               : !aState.digest.ready || this->options.members.Own().host > aState.host;
+  // A newcomer asks by itself; otherwise the side with the smaller name does. A first mismatch is common
+  // while an announcement travels.
+  const bool peerNewcomer = !aState.digest.ready;
+  const bool smaller = this->options.members.Own().host < aState.host;
+  const bool starts = newcomer == peerNewcomer ? smaller : newcomer;
   const bool first = ++aState.hashMismatches == 1 && !newcomer;
-  if (byPeer || first || now < aState.nextBuckets || now < this->nextCompare) {
+  if (!starts || first || now < aState.nextBuckets || now < this->nextCompare) {
     return;
   }
   const bool loaded = this->reports.Loaded() && !newcomer;
--- a/src/overlay/internal/overlaynode.h
+++ b/src/overlay/internal/overlaynode.h
@@ -132,6 +132,8 @@
   Readiness readiness;
   std::unique_ptr<IConfigReader> reader;
   std::size_t rank = 0;
+  TimePoint startedAt;
+  bool rankedEarly = false; ///< the rank counts hosts that have not announced themselves
   TimePoint lastTick;
   TimePoint knownSince; ///< start or end of the last pause
   TicketNumber lastInForce = 0;
--- a/src/overlay/internal/peerchoice.cpp
+++ b/src/overlay/internal/peerchoice.cpp
@@ -88,7 +88,7 @@
 }
 
 std::size_t
-ReaderRank(const MemberView& aView)
+ReaderRank(const MemberView& aView, bool aCountUnheard)
 {
   const MemberStatus* self = aView.Find(aView.self);
   if (self == nullptr) {
@@ -99,7 +99,9 @@
   std::size_t rank = 0;
   for (const MemberStatus& status : aView.members) {
     const MemberRecord& record = status.record;
-    const bool candidate = record.failureDomain == self->record.failureDomain && !status.unreachable &&
+    const bool unheard = record.incarnation == Incarnation{} && !status.listedLeaving;
+    const bool runs = !status.unreachable || (aCountUnheard && unheard);
+    const bool candidate = record.failureDomain == self->record.failureDomain && runs &&
                            record.state != MemberState::kLeaving && record.host != aView.self;
     if (candidate && Hash64(record.host, key) > own) {
       ++rank;
--- a/src/overlay/internal/peerchoice.h
+++ b/src/overlay/internal/peerchoice.h
@@ -13,9 +13,10 @@
 std::set<std::string>
 ChoosePeers(const MemberView& aView);
 
+/// \param aCountUnheard whether listed hosts that have not announced themselves count as running
 /// \return position of this node among the readers of its failure domain; 0 is first
 std::size_t
-ReaderRank(const MemberView& aView);
+ReaderRank(const MemberView& aView, bool aCountUnheard);
 
 } // namespace yp
 
