Look at timed members only when one is due

At each tick a member table copied and searched all hosts with a pending time, which after the loss of a region or at a start is a large part of the fleet.

--- a/src/membership/internal/membertable.cpp
+++ b/src/membership/internal/membertable.cpp
@@ -108,6 +108,7 @@
   this->SetPlaced(aMember);
   if (aMember.unreachableSince || aMember.decideAt) {
     this->timed.insert(aMember.record.host);
+    this->nextDue = std::min(this->nextDue, NextDue(aMember));
   } else {
     this->timed.erase(aMember.record.host);
   }
@@ -228,6 +229,7 @@
   if (member.reports.size() >= 2 && !member.decideAt) {
     member.decideAt = this->clock.Now() + kRefutationTime;
     this->timed.insert(aSuspicion.host);
+    this->nextDue = std::min(this->nextDue, *member.decideAt);
   }
   return MergeResult::kChanged;
 }
@@ -287,13 +289,35 @@
   return found != this->members.end() && found->second.believed;
 }
 
+TimePoint
+MemberTable::NextDue(const Member& aMember)
+{
+  TimePoint due = TimePoint::max();
+  if (aMember.decideAt) {
+    due = *aMember.decideAt;
+  }
+  if (aMember.unreachableSince && aMember.placed) {
+    due = std::min(due, *aMember.unreachableSince + kPlacementDropTime);
+  }
+  if (aMember.unreachableSince && !aMember.listed) {
+    due = std::min(due, *aMember.unreachableSince + kForgetTime);
+  }
+  return due;
+}
+
 void
 MemberTable::Tick()
 {
   const TimePoint now = this->clock.Now();
-  const std::vector<std::string> due(this->timed.begin(), this->timed.end());
-  for (const std::string& host : due) {
-    Member& member = this->members.at(host);
+  if (now < this->nextDue) {
+    return;
+  }
+  this->nextDue = TimePoint::max();
+  for (auto next = this->timed.begin(); next != this->timed.end();) {
+    const std::string& host = *next;
+    const auto entry = this->members.find(host);
+    Member& member = entry->second;
+    ++next;
     if (member.decideAt && now >= *member.decideAt) {
       YP_INVARIANT(member.reports.size() >= 2, "death_needs_two_domains", host);
       member.decideAt.reset();
@@ -306,10 +330,12 @@
     if (forgotten) {
       member.record.state = MemberState::kGone;
       this->UpdateHash(member);
-      this->timed.erase(host);
-      this->members.erase(host);
+      this->timed.erase(entry->first);
+      this->members.erase(entry);
       this->view = nullptr;
+      continue;
     }
+    this->nextDue = std::min(this->nextDue, NextDue(member));
   }
 }
 
@@ -317,6 +343,7 @@
 MemberTable::Resume()
 {
   const TimePoint now = this->clock.Now();
+  this->nextDue = now;
   for (const std::string& host : this->timed) {
     Member& member = this->members.at(host);
     if (member.decideAt) {
--- a/src/membership/internal/membertable.h
+++ b/src/membership/internal/membertable.h
@@ -49,6 +49,8 @@
   };
 
   static bool Announced(const Member& aMember);
+  /// \return when time next changes something about a member
+  static TimePoint NextDue(const Member& aMember);
   void Changed(Member& aMember);
   void UpdateHash(Member& aMember);
   void ClearReports(Member& aMember);
@@ -58,7 +60,8 @@
   const IClock& clock;
   std::string self;
   std::map<std::string, Member> members;
-  std::set<std::string> timed; ///< hosts with a decision that time brings
+  std::set<std::string> timed;          ///< hosts with a decision that time brings
+  TimePoint nextDue = TimePoint::max(); ///< no such decision is due before
   std::uint64_t listingVersion = 0;
   std::vector<std::string> leavingServers;
   std::uint64_t hash = 0;
