--- a/src/membership/internal/membertable.cpp
+++ b/src/membership/internal/membertable.cpp
@@ -15,6 +15,11 @@
 // Two failure domains decide; a third one is spare, and more would only add traffic.
 constexpr std::size_t kMaxReportingDomains = 3;
 
+// A hash has two halves, one of what members announce and one of which of them are believed unreachable.
+// After the loss of a region nodes differ in the second half of most buckets, and need not exchange records.
+constexpr std::uint64_t kRecordHalf = 0xffffffff;
+constexpr std::uint64_t kBeliefHalf = ~kRecordHalf;
+
 bool
 Newer(const MemberRecord& aRecord, const MemberRecord& aKnown)
 {
@@ -65,7 +70,9 @@
   if (Announced(aMember) && record.state != MemberState::kGone) {
     const std::uint64_t run =
       Hash64(record.host, aMember.record.incarnation.high ^ aMember.record.incarnation.low);
-    contribution = Hash64(aMember.believed ? "unreachable" : "reachable", run ^ record.sequence);
+    const std::uint64_t said = Hash64("record", run ^ record.sequence) & kRecordHalf;
+    const std::uint64_t believed = Hash64("unreachable", run ^ record.sequence) & kBeliefHalf;
+    contribution = said | (aMember.believed ? believed : 0);
   }
   const std::uint64_t change = contribution ^ aMember.contribution;
   this->hash ^= change;
@@ -101,6 +108,7 @@
   this->SetPlaced(aMember);
   if (aMember.unreachableSince || aMember.decideAt) {
     this->timed.insert(aMember.record.host);
+    this->nextDue = std::min(this->nextDue, NextDue(aMember));
   } else {
     this->timed.erase(aMember.record.host);
   }
@@ -221,6 +229,7 @@
   if (member.reports.size() >= 2 && !member.decideAt) {
     member.decideAt = this->clock.Now() + kRefutationTime;
     this->timed.insert(aSuspicion.host);
+    this->nextDue = std::min(this->nextDue, *member.decideAt);
   }
   return MergeResult::kChanged;
 }
@@ -280,13 +289,35 @@
   return found != this->members.end() && found->second.believed;
 }
 
+TimePoint
+MemberTable::NextDue(const Member& aMember)
+{
+  TimePoint due = TimePoint::max();
+  if (aMember.decideAt) {
+    due = *aMember.decideAt;
+  }
+  if (aMember.unreachableSince && aMember.placed) {
+    due = std::min(due, *aMember.unreachableSince + kPlacementDropTime);
+  }
+  if (aMember.unreachableSince && !aMember.listed) {
+    due = std::min(due, *aMember.unreachableSince + kForgetTime);
+  }
+  return due;
+}
+
 void
 MemberTable::Tick()
 {
   const TimePoint now = this->clock.Now();
-  const std::vector<std::string> due(this->timed.begin(), this->timed.end());
-  for (const std::string& host : due) {
-    Member& member = this->members.at(host);
+  if (now < this->nextDue) {
+    return;
+  }
+  this->nextDue = TimePoint::max();
+  for (auto next = this->timed.begin(); next != this->timed.end();) {
+    const std::string& host = *next;
+    const auto entry = this->members.find(host);
+    Member& member = entry->second;
+    ++next;
     if (member.decideAt && now >= *member.decideAt) {
       YP_INVARIANT(member.reports.size() >= 2, "death_needs_two_domains", host);
       member.decideAt.reset();
@@ -299,10 +330,12 @@
     if (forgotten) {
       member.record.state = MemberState::kGone;
       this->UpdateHash(member);
-      this->timed.erase(host);
-      this->members.erase(host);
+      this->timed.erase(entry->first);
+      this->members.erase(entry);
       this->view = nullptr;
+      continue;
     }
+    this->nextDue = std::min(this->nextDue, NextDue(member));
   }
 }
 
@@ -310,6 +343,7 @@
 MemberTable::Resume()
 {
   const TimePoint now = this->clock.Now();
+  this->nextDue = now;
   for (const std::string& host : this->timed) {
     Member& member = this->members.at(host);
     if (member.decideAt) {
@@ -351,7 +385,7 @@
   }
   for (const auto& entry : this->members) {
     const std::size_t bucket = BucketOf(entry.first);
-    if (Announced(entry.second) && aHashes[bucket] != this->buckets[bucket]) {
+    if (Announced(entry.second) && ((aHashes[bucket] ^ this->buckets[bucket]) & kRecordHalf) != 0) {
       records.push_back(entry.second.record);
     }
   }
@@ -369,7 +403,7 @@
   for (const std::string& host : this->timed) {
     const Member& member = this->members.at(host);
     const std::size_t bucket = BucketOf(host);
-    if (member.believed && aHashes[bucket] != this->buckets[bucket]) {
+    if (member.believed && ((aHashes[bucket] ^ this->buckets[bucket]) & kBeliefHalf) != 0) {
       for (const auto& report : member.reports) {
         reports.push_back(report.second);
       }
--- a/src/overlay/internal/messages.cpp
+++ b/src/overlay/internal/messages.cpp
@@ -12,11 +12,15 @@
 constexpr std::size_t kMaxElements = 100000;
 // Exact in every JSON reader, and far enough from overflow for sums of ticket numbers.
 constexpr std::uint64_t kMaxTicketNumber = 1ULL << 53;
+// Bounds the memory that a peer's listing takes.
+constexpr std::uint64_t kMaxListingParts = 64;
 constexpr std::size_t kCompressFrom = 1024;
 // Level 1: bodies are compressed on the control thread.
 constexpr int kCompressionLevel = 1;
 constexpr std::size_t kIncarnationBytes = 24;
 constexpr std::size_t kHashBytes = 8;
+// Sequences are raised by one; the bound keeps a malformed one from overflowing at the owner.
+constexpr std::uint64_t kMaxSequence = std::numeric_limits<std::uint64_t>::max() / 2;
 constexpr CodecLimits kFrameLimits{ kMaxFrameBytes, 16 };
 
 Json
@@ -215,9 +219,9 @@
 }
 
 Incarnation
-ReadIncarnation(FieldReader& aReader, const char* aKey)
+AsIncarnation(FieldReader& aReader, const Json& aField)
 {
-  const std::string bytes = aReader.Bytes(aKey, kIncarnationBytes);
+  const std::string bytes = aReader.AsBytes(aField, kIncarnationBytes);
   if (bytes.size() != kIncarnationBytes) {
     aReader.Mark("an incarnation is malformed");
     return {};
@@ -227,9 +231,9 @@
 }
 
 Endpoint
-ReadEndpoint(FieldReader& aReader, const char* aKey)
+ReadEndpoint(FieldReader& aReader, const Json& aField)
 {
-  const std::string text = aReader.Text(aKey);
+  const std::string text = aReader.AsText(aField);
   // A node without a listener of a kind announces port 0.
   if (text.empty() || text == ":0" || aReader.Failed()) {
     return {};
@@ -241,46 +245,93 @@
                  });
 }
 
+Endpoint
+ReadEndpoint(FieldReader& aReader, const char* aKey)
+{
+  const Json* field = aReader.Field(aKey);
+  return field == nullptr ? Endpoint{} : ReadEndpoint(aReader, *field);
+}
+
 Json
 ToJson(const Endpoint& aEndpoint)
 {
   return aEndpoint.address.empty() ? std::string() : ToString(aEndpoint);
 }
 
+/// An endpoint of a record: its port alone when it has the address of the peer endpoint.
+Json
+ToJson(const Endpoint& aEndpoint, const Endpoint& aPeer)
+{
+  if (!aEndpoint.address.empty() && aEndpoint.address == aPeer.address) {
+    return static_cast<std::uint64_t>(aEndpoint.port);
+  }
+  return ToJson(aEndpoint);
+}
+
+Endpoint
+ReadEndpoint(FieldReader& aReader, const Json& aField, const Endpoint& aPeer)
+{
+  if (!aField.is_number()) {
+    return ReadEndpoint(aReader, aField);
+  }
+  const auto port = static_cast<std::uint16_t>(
+    aReader.AsNumber(aField, std::numeric_limits<decltype(Endpoint::port)>::max()));
+  if (aPeer.address.empty()) {
+    aReader.Mark("a port has no address");
+  }
+  return { aPeer.address, port };
+}
+
+/// A record is a list in the order of RecordField: records are most of the traffic, and names of fields
+/// would take a fifth of it.
+enum RecordField : std::size_t
+{
+  kRecordHost,
+  kRecordDomain,
+  kRecordRegion,
+  kRecordPeer,
+  kRecordCaller,
+  kRecordAdmin,
+  kRecordIncarnation,
+  kRecordSequence,
+  kRecordState,
+  kRecordFields
+};
+
 Json
 ToJson(const MemberRecord& aRecord)
 {
-  return { { "h", aRecord.host },
-           { "d", aRecord.failureDomain },
-           { "r", aRecord.region },
-           { "p", ToJson(aRecord.peerEndpoint) },
-           { "c", ToJson(aRecord.callerEndpoint) },
-           { "a", ToJson(aRecord.adminEndpoint) },
-           { "i", ToJson(aRecord.incarnation) },
-           { "q", aRecord.sequence },
-           { "s", static_cast<std::uint64_t>(aRecord.state) } };
+  return Json::array({ aRecord.host,
+                       aRecord.failureDomain,
+                       aRecord.region,
+                       ToJson(aRecord.peerEndpoint),
+                       ToJson(aRecord.callerEndpoint, aRecord.peerEndpoint),
+                       ToJson(aRecord.adminEndpoint, aRecord.peerEndpoint),
+                       ToJson(aRecord.incarnation),
+                       aRecord.sequence,
+                       static_cast<std::uint64_t>(aRecord.state) });
 }
 
 MemberRecord
-ReadRecord(FieldReader& aOuter, const Json& aValue)
+ReadRecord(FieldReader& aReader, const Json& aValue)
 {
-  FieldReader reader(aValue);
   MemberRecord record;
-  record.host = reader.Text("h");
-  record.failureDomain = reader.Text("d");
-  record.region = reader.Text("r");
-  record.peerEndpoint = ReadEndpoint(reader, "p");
-  record.callerEndpoint = ReadEndpoint(reader, "c");
-  record.adminEndpoint = ReadEndpoint(reader, "a");
-  record.incarnation = ReadIncarnation(reader, "i");
-  // Sequences are raised by one; the bound keeps a malformed one from overflowing at the owner.
-  record.sequence = reader.Number("q", std::numeric_limits<std::uint64_t>::max() / 2);
-  record.state = static_cast<MemberState>(reader.Number("s", static_cast<std::uint64_t>(MemberState::kGone)));
+  if (!aValue.is_array() || aValue.size() != kRecordFields) {
+    aReader.Mark("a record is malformed");
+    return record;
+  }
+  record.host = aReader.AsText(aValue[kRecordHost]);
+  record.failureDomain = aReader.AsText(aValue[kRecordDomain]);
+  record.region = aReader.AsText(aValue[kRecordRegion]);
+  record.peerEndpoint = ReadEndpoint(aReader, aValue[kRecordPeer]);
+  record.callerEndpoint = ReadEndpoint(aReader, aValue[kRecordCaller], record.peerEndpoint);
+  record.adminEndpoint = ReadEndpoint(aReader, aValue[kRecordAdmin], record.peerEndpoint);
+  record.incarnation = AsIncarnation(aReader, aValue[kRecordIncarnation]);
+  record.sequence = aReader.AsNumber(aValue[kRecordSequence], kMaxSequence);
+  record.state = static_cast<MemberState>(
+    aReader.AsNumber(aValue[kRecordState], static_cast<std::uint64_t>(MemberState::kGone)));
   if (record.host.empty()) {
-    reader.Mark("a host has no name");
-  }
-  if (reader.Failed()) {
-    aOuter.Mark(reader.Problem());
+    aReader.Mark("a host has no name");
   }
   return record;
 }
@@ -386,6 +437,23 @@
   return host;
 }
 
+Suspicion
+ReadSuspicion(FieldReader& aReader, const Json& aValue)
+{
+  constexpr std::size_t kFields = 5;
+  Suspicion suspicion;
+  if (!aValue.is_array() || aValue.size() != kFields) {
+    aReader.Mark("a report is malformed");
+    return suspicion;
+  }
+  suspicion.host = aReader.AsText(aValue[0]);
+  suspicion.incarnation = AsIncarnation(aReader, aValue[1]);
+  suspicion.sequence = aReader.AsNumber(aValue[2], kMaxSequence);
+  suspicion.reporter = aReader.AsText(aValue[3]);
+  suspicion.reporterDomain = aReader.AsText(aValue[4]);
+  return suspicion;
+}
+
 std::string
 ReadText(FieldReader& aReader, const Json& aValue)
 {
@@ -405,16 +473,13 @@
 Read(FieldReader& aReader, RecordsMessage& aMessage)
 {
   aMessage.records = aReader.List<MemberRecord>("m", kMaxElements, ReadRecord);
+  aMessage.news = aReader.Flag("n");
 }
 
 void
 Read(FieldReader& aReader, SuspectMessage& aMessage)
 {
-  aMessage.suspicion.host = aReader.Text("h");
-  aMessage.suspicion.incarnation = ReadIncarnation(aReader, "i");
-  aMessage.suspicion.sequence = aReader.Number("q", std::numeric_limits<std::uint64_t>::max() / 2);
-  aMessage.suspicion.reporter = aReader.Text("r");
-  aMessage.suspicion.reporterDomain = aReader.Text("d");
+  aMessage.suspicions = aReader.List<Suspicion>("s", kMaxElements, ReadSuspicion);
 }
 
 void
@@ -447,17 +512,24 @@
 Read(FieldReader& aReader, DigestMessage& aMessage)
 {
   constexpr std::uint64_t kMaxAgeMs = 1000ULL * 3600 * 24 * 3650;
+  constexpr std::uint64_t kMaxNonce = std::numeric_limits<std::uint32_t>::max();
   aMessage.inForce = aReader.Number("k", kMaxTicketNumber);
-  aMessage.highest = aReader.Number("h", kMaxTicketNumber);
-  aMessage.missing = aReader.List<TicketRange>("m", kMaxElements, ReadRange);
+  aMessage.highest = aReader.Has("h") ? aReader.Number("h", kMaxTicketNumber) : aMessage.inForce;
+  if (aReader.Has("m")) {
+    aMessage.missing = aReader.List<TicketRange>("m", kMaxElements, ReadRange);
+  }
   if (aReader.Has("f")) {
     aMessage.freshness = std::chrono::milliseconds(aReader.Number("f", kMaxAgeMs));
   }
   aMessage.membershipHash = aReader.Number("x");
   aMessage.listingVersion = aReader.Number("l");
-  aMessage.ready = aReader.Flag("r");
-  aMessage.nonce = static_cast<std::uint32_t>(aReader.Number("n", std::numeric_limits<std::uint32_t>::max()));
-  aMessage.echo = static_cast<std::uint32_t>(aReader.Number("e", std::numeric_limits<std::uint32_t>::max()));
+  aMessage.ready = !aReader.Has("r") || aReader.Flag("r");
+  if (aReader.Has("n")) {
+    aMessage.nonce = static_cast<std::uint32_t>(aReader.Number("n", kMaxNonce));
+  }
+  if (aReader.Has("e")) {
+    aMessage.echo = static_cast<std::uint32_t>(aReader.Number("e", kMaxNonce));
+  }
 }
 
 void
@@ -505,6 +577,8 @@
   aMessage.hosts = aReader.List<ListedHost>("h", kMaxElements, ReadListedHost);
   aMessage.removed = aReader.List<std::string>("x", kMaxElements, ReadText);
   aMessage.leavingServers = aReader.List<std::string>("s", kMaxElements, ReadText);
+  aMessage.part = aReader.Number("p", kMaxListingParts);
+  aMessage.last = aReader.Flag("z");
 }
 
 void
@@ -527,18 +601,21 @@
   for (const MemberRecord& record : aMessage.records) {
     records.push_back(ToJson(record));
   }
-  return EncodeCbor({ { "m", std::move(records) } });
+  return EncodeCbor({ { "m", std::move(records) }, { "n", aMessage.news } });
 }
 
 std::string
 Encode(const SuspectMessage& aMessage)
 {
-  const Suspicion& suspicion = aMessage.suspicion;
-  return EncodeCbor({ { "h", suspicion.host },
-                      { "i", ToJson(suspicion.incarnation) },
-                      { "q", suspicion.sequence },
-                      { "r", suspicion.reporter },
-                      { "d", suspicion.reporterDomain } });
+  Json suspicions = Json::array();
+  for (const Suspicion& suspicion : aMessage.suspicions) {
+    suspicions.push_back(Json::array({ suspicion.host,
+                                       ToJson(suspicion.incarnation),
+                                       suspicion.sequence,
+                                       suspicion.reporter,
+                                       suspicion.reporterDomain }));
+  }
+  return EncodeCbor({ { "s", std::move(suspicions) } });
 }
 
 std::string
@@ -571,17 +648,29 @@
 std::string
 Encode(const DigestMessage& aMessage)
 {
-  Json missing = Json::array();
+  // Digests are the most frequent frames; values that are usual are left out.
+  const DigestMessage usual;
+  Json value = { { "k", aMessage.inForce },
+                 { "x", aMessage.membershipHash },
+                 { "l", aMessage.listingVersion } };
+  if (aMessage.highest != aMessage.inForce) {
+    value["h"] = aMessage.highest;
+  }
   for (const TicketRange& range : aMessage.missing) {
-    missing.push_back(Json::array({ range.first, range.last }));
+    value["m"].push_back(Json::array({ range.first, range.last }));
   }
-  Json value = { { "k", aMessage.inForce },        { "h", aMessage.highest },
-                 { "m", std::move(missing) },      { "x", aMessage.membershipHash },
-                 { "l", aMessage.listingVersion }, { "r", aMessage.ready },
-                 { "n", aMessage.nonce },          { "e", aMessage.echo } };
   if (aMessage.freshness) {
     value["f"] = static_cast<std::uint64_t>(aMessage.freshness->count());
   }
+  if (aMessage.ready != usual.ready) {
+    value["r"] = aMessage.ready;
+  }
+  if (aMessage.nonce != usual.nonce) {
+    value["n"] = aMessage.nonce;
+  }
+  if (aMessage.echo != usual.echo) {
+    value["e"] = aMessage.echo;
+  }
   return EncodeCbor(value);
 }
 
@@ -639,6 +728,8 @@
   Json value = { { "b", aMessage.base }, { "v", aMessage.version }, { "h", std::move(hosts) } };
   value["x"] = aMessage.removed;
   value["s"] = aMessage.leavingServers;
+  value["p"] = aMessage.part;
+  value["z"] = aMessage.last;
   return EncodeCbor(value);
 }
 
--- a/src/overlay/internal/messages.h
+++ b/src/overlay/internal/messages.h
@@ -23,13 +23,14 @@
 {
   static constexpr const char* kType = "records";
   std::vector<MemberRecord> records;
+  bool news = true; ///< passed on where it is new; false in the answer to a comparison of tables
 };
 
-/// A report that a member cannot be reached.
+/// Reports that members cannot be reached.
 struct SuspectMessage
 {
   static constexpr const char* kType = "suspect";
-  Suspicion suspicion;
+  std::vector<Suspicion> suspicions;
 };
 
 /// A ticket's header, with the body if it is small.
@@ -66,9 +67,9 @@
   std::optional<std::chrono::milliseconds> freshness; ///< age of the domain's last contact with the service
   std::uint64_t membershipHash = 0;
   std::uint64_t listingVersion = 0;
-  bool ready = false;
-  std::uint32_t nonce = 0; ///< changes when the sender needs a new answer
-  std::uint32_t echo = 0;  ///< last nonce received on this link
+  bool ready = true;
+  std::uint32_t nonce = 1; ///< changes when the sender needs a new answer; 1 in a process that never paused
+  std::uint32_t echo = 1;  ///< last nonce received on this link; 0 for none
 };
 
 /// Hashes of the buckets of a member table that differs.
@@ -114,6 +115,8 @@
   std::vector<ListedHost> hosts;
   std::vector<std::string> removed;
   std::vector<std::string> leavingServers;
+  std::uint64_t part = 0; ///< position among the parts of these changes
+  bool last = true;       ///< no part follows
 };
 
 /// The sender closes the link on purpose.
--- a/src/overlay/internal/overlaynode.cpp
+++ b/src/overlay/internal/overlaynode.cpp
@@ -24,12 +24,13 @@
 constexpr std::size_t kInlineBytes = 2048;
 // Larger bodies go inline to this many links only; all links would cost more than 12 KB a change and node.
 constexpr std::size_t kInlineToAllBytes = 256;
-constexpr std::size_t kInlineLinks = 3;
+constexpr std::size_t kInlineLinks = 2;
 // Time in which an inline body may still arrive from another peer before it is pulled.
 constexpr milliseconds kInlineGrace{ 100 };
 constexpr milliseconds kDigestGrace{ 300 };
-// Announcements that are not urgent go to this many links; digests repair what is missed.
-constexpr std::size_t kRecordLinks = 6;
+// Announcements that are not urgent wait for the next tick and go to this many links together; digests
+// repair what is missed.
+constexpr std::size_t kRecordLinks = 4;
 constexpr std::size_t kRecordsPerFrame = 1000;
 constexpr std::size_t kPullNumbers = 64;
 constexpr std::size_t kPartBytes = 512 * 1024;
@@ -40,14 +41,34 @@
 // A newcomer takes a transfer unless the whole history is as short as this.
 constexpr TicketNumber kShortHistory = 8;
 constexpr seconds kBucketsInterval{ 3 };
+// A node compares tables with one peer at a time: each peer would send a newcomer the whole table.
+constexpr seconds kCompareInterval{ 1 };
+// While reports of a mass loss spread, tables differ everywhere and comparisons help little.
+constexpr seconds kLoadedCompareInterval{ 10 };
+constexpr std::size_t kReportsPerComparison = 64;
+// Queued reports go to this many links; comparisons of tables repair what is missed.
+constexpr std::size_t kQueuedReportLinks = 3;
+// Choosing peers takes about 0.3 us a member; the interval bounds it to 0.2 % of a core.
+constexpr std::chrono::microseconds kChoiceIntervalPerMember{ 150 };
 constexpr std::size_t kAlwaysReaders = 2;
 constexpr std::size_t kMaxReaders = 5;
 constexpr seconds kEscalationStep{ 2 };
+// When the fleet starts at once, a node hears of most others within this time. Until then it takes listed
+// hosts for running, because otherwise all nodes would hold themselves to be the first reader.
+constexpr seconds kEarlyTime{ 10 };
 constexpr seconds kListPollInterval{ 3 };
 constexpr seconds kListCallTimeout{ 10 };
 constexpr seconds kListConfirms{ 30 };
 constexpr LinkId kNoLink = 0;
 
+void
+Shuffle(std::vector<LinkId>& aLinks, IRandom& aRandom)
+{
+  for (std::size_t i = aLinks.size(); i > 1; --i) {
+    std::swap(aLinks[i - 1], aLinks[aRandom.Below(i)]);
+  }
+}
+
 } // namespace
 
 std::unique_ptr<IOverlayNode>
@@ -59,7 +80,8 @@
 OverlayNode::OverlayNode(OverlayOptions aOptions)
   : options(std::move(aOptions))
   , readiness(this->options.clock.Now())
-  , lastTick(this->options.clock.Now())
+  , startedAt(this->options.clock.Now())
+  , lastTick(this->startedAt)
   , knownSince(this->lastTick)
   , lastInForce(this->options.store.InForce())
   , nextListPoll(this->lastTick)
@@ -213,6 +235,8 @@
   this->transferSource.Tick(now);
   this->transferSink.Tick(now);
   this->SendPulls();
+  this->SendPendingRecords();
+  this->SendQueuedReports();
   this->TickReader();
   this->PollHostList();
   this->Evaluate();
@@ -228,7 +252,7 @@
 void
 OverlayNode::AnnounceState(MemberState aState)
 {
-  this->FloodRecords({ this->options.members.SetOwnState(aState) }, kNoLink, true);
+  this->FloodRecords({ this->options.members.SetOwnState(aState) }, kNoLink);
 }
 
 void
@@ -250,13 +274,21 @@
 void
 OverlayNode::UpdateView()
 {
+  const TimePoint now = this->options.clock.Now();
+  if (this->view && now < this->nextChoice) {
+    return;
+  }
+  const bool early = now - this->startedAt < kEarlyTime;
   const Ref<const MemberView> current = this->options.members.View();
-  if (current == this->view) {
+  if (current == this->view && early == this->rankedEarly) {
     return;
   }
+  this->rankedEarly = early;
   this->view = current;
+  this->allLinked = false;
+  this->nextChoice = now + kChoiceIntervalPerMember * current->members.size();
   this->targets = ChoosePeers(*this->view);
-  this->rank = ReaderRank(*this->view);
+  this->rank = ReaderRank(*this->view, early);
 }
 
 // Links
@@ -279,6 +311,10 @@
 void
 OverlayNode::OpenMissingLinks()
 {
+  if (this->allLinked) {
+    return;
+  }
+  this->allLinked = true;
   const TimePoint now = this->options.clock.Now();
   std::set<std::string> wanted = this->targets;
   // A host whose link was lost is dialled once more, even if it is no chosen peer: only a failed attempt is
@@ -294,8 +330,12 @@
       this->dials.erase(host);
       continue;
     }
+    if (this->HasLinkTo(host)) {
+      continue;
+    }
+    this->allLinked = false;
     Dial& dial = this->dials[host];
-    if (now < dial.next || this->HasLinkTo(host)) {
+    if (now < dial.next) {
       continue;
     }
     const LinkId id = this->options.network.Open(record->peerEndpoint, LinkPurpose::kOverlay);
@@ -312,6 +352,7 @@
   if (aHost.empty()) {
     return;
   }
+  this->allLinked = false;
   const TimePoint now = this->options.clock.Now();
   Dial& dial = this->dials[aHost];
   dial.backoff = std::clamp(dial.backoff * 2, kFirstRedial, kLongestRedial);
@@ -390,6 +431,7 @@
     this->OnLinkDown(aLink);
     return;
   }
+  this->allLinked = false;
   this->links.erase(aLink);
   this->pulls.DropLink(aLink);
   this->transferSink.DropLink(aLink);
@@ -399,6 +441,7 @@
 OverlayNode::OnLinkUp(LinkId aLink, bool aOutbound)
 {
   this->CheckPause();
+  this->allLinked = false;
   Link& link = this->links[aLink];
   link.outbound = aOutbound;
   link.up = true;
@@ -416,6 +459,7 @@
   }
   const bool established = found->second.established;
   const std::string host = established ? found->second.host : found->second.target;
+  this->allLinked = false;
   this->links.erase(found);
   this->pulls.DropLink(aLink);
   this->transferSink.DropLink(aLink);
@@ -465,21 +509,22 @@
     this->options.members.LinkFailed(target);
   }
   const TimePoint now = this->options.clock.Now();
+  this->allLinked = false;
   aState.host = record.host;
   aState.domain = record.failureDomain;
   aState.incarnation = record.incarnation;
   aState.established = true;
   aState.establishedAt = now;
-  this->Merge({ record }, aLink);
+  this->Merge({ record }, aLink, true);
   this->options.members.LinkUp(record.host);
   this->dials.erase(record.host);
   if (this->options.members.BelievedUnreachable(record.host)) {
     // The member learns of the reports and refutes them.
     const MemberRecord* known = this->options.members.Find(record.host);
     const MemberRecord& own = this->options.members.Own();
-    this->Send(
-      aLink,
-      SuspectMessage{ { known->host, known->incarnation, known->sequence, own.host, own.failureDomain } });
+    this->Send(aLink,
+               SuspectMessage{
+                 { { known->host, known->incarnation, known->sequence, own.host, own.failureDomain } } });
   }
   if (!this->KeepLink(aLink, aState)) {
     return;
@@ -528,9 +573,7 @@
       link.hasTickets.insert(aNumber);
     }
   }
-  for (std::size_t i = receivers.size(); i > 1; --i) {
-    std::swap(receivers[i - 1], receivers[this->options.random.Below(i)]);
-  }
+  Shuffle(receivers, this->options.random);
   const std::string plain = Encode(TicketMessage{ *header, body.has_value(), std::nullopt });
   std::size_t inlineLinks = 0;
   std::string full;
@@ -565,13 +608,15 @@
 OverlayNode::OnTicket(LinkId aLink, Link& aState, TicketMessage& aMessage)
 {
   const TicketNumber number = aMessage.header.number;
-  if (number <= this->options.store.InForce()) {
+  // Digests bring what is further ahead. One wrong number must not become the highest known to all: nodes
+  // would take the service for stale, and newcomers would wait for it.
+  const TicketNumber inForce = this->options.store.InForce();
+  if (number <= inForce || number > inForce + kLongestPulledGap) {
     return;
   }
   if (aState.hasTickets.size() < kLongestPulledGap) {
     aState.hasTickets.insert(number);
   }
-  this->options.store.NoteHighest(number);
   if (this->options.store.Header(number)) {
     return;
   }
@@ -650,7 +695,8 @@
 OverlayNode::OnBodies(LinkId aLink, Link& aState, BodiesMessage& aMessage)
 {
   for (const auto& body : aMessage.bodies) {
-    if (!this->pulls.Matches(body.first, body.second)) {
+    const bool near = body.first <= this->options.store.InForce() + kLongestPulledGap;
+    if (!near || !this->pulls.Matches(body.first, body.second)) {
       ++this->malformed;
       this->pulls.Absent(body.first, aLink);
       continue;
@@ -692,30 +738,58 @@
 // Membership
 
 void
-OverlayNode::FloodRecords(const std::vector<MemberRecord>& aRecords, LinkId aFrom, bool aToAll)
+OverlayNode::FloodRecords(const std::vector<MemberRecord>& aRecords, LinkId aFrom)
 {
-  std::vector<LinkId> receivers;
+  const std::string payload = Encode(RecordsMessage{ aRecords, true });
   for (const auto& link : this->links) {
     if (link.second.established && link.first != aFrom) {
-      receivers.push_back(link.first);
+      this->SendPayload(link.first, RecordsMessage::kType, payload);
     }
   }
-  for (std::size_t i = receivers.size(); i > 1; --i) {
-    std::swap(receivers[i - 1], receivers[this->options.random.Below(i)]);
+}
+
+void
+OverlayNode::SendPendingRecords()
+{
+  if (this->pendingRecords.empty()) {
+    return;
+  }
+  // A record that came over one link only need not go back over it.
+  const LinkId from = this->pendingRecords.size() == 1 ? this->pendingRecords.begin()->second : kNoLink;
+  const std::vector<LinkId> receivers = this->RandomLinks(kRecordLinks, from);
+  if (receivers.empty()) {
+    return;
   }
-  if (!aToAll && receivers.size() > kRecordLinks) {
-    receivers.resize(kRecordLinks);
+  RecordsMessage message;
+  const auto send = [&] {
+    const std::string payload = Encode(message);
+    for (const LinkId link : receivers) {
+      this->SendPayload(link, RecordsMessage::kType, payload);
+    }
+    message.records.clear();
+  };
+  for (const auto& pending : this->pendingRecords) {
+    const MemberRecord* record = this->options.members.Find(pending.first);
+    if (record != nullptr) {
+      message.records.push_back(*record);
+    }
+    if (message.records.size() == kRecordsPerFrame) {
+      send();
+    }
   }
-  const std::string payload = Encode(RecordsMessage{ aRecords });
-  for (const LinkId link : receivers) {
-    this->SendPayload(link, RecordsMessage::kType, payload);
+  if (!message.records.empty()) {
+    send();
   }
+  this->pendingRecords.clear();
 }
 
 void
 OverlayNode::FloodSuspicion(const Suspicion& aSuspicion, LinkId aFrom)
 {
-  const std::string payload = Encode(SuspectMessage{ aSuspicion });
+  if (!this->reports.Pass(aSuspicion, this->options.clock.Now())) {
+    return;
+  }
+  const std::string payload = Encode(SuspectMessage{ { aSuspicion } });
   for (const auto& link : this->links) {
     if (link.second.established && link.first != aFrom) {
       this->SendPayload(link.first, SuspectMessage::kType, payload);
@@ -724,50 +798,87 @@
 }
 
 void
-OverlayNode::Merge(const std::vector<MemberRecord>& aRecords, LinkId aFrom)
+OverlayNode::SendQueuedReports()
+{
+  if (!this->reports.Loaded()) {
+    return;
+  }
+  SuspectMessage message;
+  for (Suspicion& report : this->reports.Due(this->options.clock.Now())) {
+    const MemberRecord* record = this->options.members.Find(report.host);
+    const bool current =
+      record != nullptr && record->incarnation == report.incarnation && record->sequence <= report.sequence;
+    if (current) {
+      message.suspicions.push_back(std::move(report));
+    }
+  }
+  if (message.suspicions.empty()) {
+    return;
+  }
+  const std::string payload = Encode(message);
+  for (const LinkId link : this->RandomLinks(kQueuedReportLinks, kNoLink)) {
+    this->SendPayload(link, SuspectMessage::kType, payload);
+  }
+}
+
+std::vector<LinkId>
+OverlayNode::RandomLinks(std::size_t aCount, LinkId aExcept)
+{
+  std::vector<LinkId> chosen;
+  for (const auto& link : this->links) {
+    if (link.second.established && link.first != aExcept) {
+      chosen.push_back(link.first);
+    }
+  }
+  Shuffle(chosen, this->options.random);
+  chosen.resize(std::min(chosen.size(), aCount));
+  return chosen;
+}
+
+void
+OverlayNode::Merge(const std::vector<MemberRecord>& aRecords, LinkId aFrom, bool aNews)
 {
   std::vector<MemberRecord> urgent;
-  std::vector<MemberRecord> others;
   bool refute = false;
   for (const MemberRecord& record : aRecords) {
     const MergeResult result = this->options.members.ApplyRecord(record);
     refute = refute || result == MergeResult::kRefute;
-    if (result == MergeResult::kChanged) {
-      const bool stops = record.state == MemberState::kLeaving || record.state == MemberState::kGone;
-      (stops ? urgent : others).push_back(record);
+    if (result != MergeResult::kChanged) {
+      continue;
+    }
+    if (record.state == MemberState::kLeaving || record.state == MemberState::kGone) {
+      urgent.push_back(record);
+    } else if (aNews) {
+      this->pendingRecords[record.host] = aFrom;
     }
   }
   if (refute) {
-    this->FloodRecords({ this->options.members.Own() }, kNoLink, true);
+    this->FloodRecords({ this->options.members.Own() }, kNoLink);
   }
   if (!urgent.empty()) {
-    this->FloodRecords(urgent, aFrom, true);
-  }
-  // The answer to a comparison of tables is news to this node, not to the others.
-  constexpr std::size_t kNewsRecords = 16;
-  if (!others.empty() && aRecords.size() <= kNewsRecords) {
-    this->FloodRecords(others, aFrom, false);
+    this->FloodRecords(urgent, aFrom);
   }
 }
 
 void
 OverlayNode::OnRecords(LinkId aLink, Link&, RecordsMessage& aMessage)
 {
-  this->Merge(aMessage.records, aLink);
+  this->Merge(aMessage.records, aLink, aMessage.news);
 }
 
 void
 OverlayNode::OnSuspect(LinkId aLink, Link&, SuspectMessage& aMessage)
 {
-  switch (this->options.members.ApplySuspicion(aMessage.suspicion)) {
-    case MergeResult::kIgnored:
-      break;
-    case MergeResult::kChanged:
-      this->FloodSuspicion(aMessage.suspicion, aLink);
-      break;
-    case MergeResult::kRefute:
-      this->FloodRecords({ this->options.members.Own() }, kNoLink, true);
-      break;
+  bool refute = false;
+  for (const Suspicion& suspicion : aMessage.suspicions) {
+    const MergeResult result = this->options.members.ApplySuspicion(suspicion);
+    refute = refute || result == MergeResult::kRefute;
+    if (result == MergeResult::kChanged) {
+      this->FloodSuspicion(suspicion, aLink);
+    }
+  }
+  if (refute) {
+    this->FloodRecords({ this->options.members.Own() }, kNoLink);
   }
 }
 
@@ -784,6 +895,7 @@
 OverlayNode::SendDifference(LinkId aLink, const std::vector<std::uint64_t>& aHashes)
 {
   RecordsMessage message;
+  message.news = false;
   for (MemberRecord& record : this->options.members.Difference(aHashes)) {
     message.records.push_back(std::move(record));
     if (message.records.size() == kRecordsPerFrame) {
@@ -794,8 +906,16 @@
   if (!message.records.empty()) {
     this->Send(aLink, message);
   }
-  for (const Suspicion& report : this->options.members.BelievedReports(aHashes)) {
-    this->Send(aLink, SuspectMessage{ report });
+  SuspectMessage believed{ this->options.members.BelievedReports(aHashes) };
+  std::vector<Suspicion>& list = believed.suspicions;
+  if (list.size() > kReportsPerComparison) {
+    // A random part each time, so that repeated comparisons cover all.
+    const auto start = static_cast<std::ptrdiff_t>(this->options.random.Below(list.size()));
+    std::rotate(list.begin(), list.begin() + start, list.end());
+    list.resize(kReportsPerComparison);
+  }
+  if (!list.empty()) {
+    this->Send(aLink, believed);
   }
 }
 
@@ -806,18 +926,35 @@
     aState.hashMismatches = 0;
     return;
   }
-  // One mismatch is common while an announcement travels. A newcomer does not wait.
-  const bool first = ++aState.hashMismatches == 1 && this->readiness.Ready();
   const TimePoint now = this->options.clock.Now();
-  if (first || now < aState.nextBuckets || this->options.members.Own().host > aState.host) {
+  const bool newcomer = !this->readiness.Ready();
+  // A newcomer asks by itself; otherwise the side with the smaller name does. A first mismatch is common
+  // while an announcement travels.
+  const bool peerNewcomer = !aState.digest.ready;
+  const bool smaller = this->options.members.Own().host < aState.host;
+  const bool starts = newcomer == peerNewcomer ? smaller : newcomer;
+  const bool first = ++aState.hashMismatches == 1 && !newcomer;
+  if (!starts || first || now < aState.nextBuckets || now < this->nextCompare) {
     return;
   }
+  const bool loaded = this->reports.Loaded() && !newcomer;
   aState.nextBuckets = now + kBucketsInterval;
+  this->nextCompare = now + (loaded ? kLoadedCompareInterval : kCompareInterval);
   this->Send(aLink, BucketsMessage{ this->options.members.BucketHashes(), true });
 }
 
 // Digests
 
+DigestMessage
+OverlayNode::NoDigest()
+{
+  DigestMessage digest;
+  digest.ready = false;
+  digest.nonce = 0;
+  digest.echo = 0;
+  return digest;
+}
+
 void
 OverlayNode::SendDigest(LinkId aLink, Link& aState)
 {
@@ -829,7 +966,8 @@
   digest.inForce = this->options.store.InForce();
   digest.highest = this->options.store.Highest();
   digest.missing = this->options.store.Missing(kDigestRanges);
-  if (this->freshAt) {
+  // The freshness concerns the readers of one domain only.
+  if (this->freshAt && aState.domain == this->options.members.Own().failureDomain) {
     digest.freshness = std::chrono::duration_cast<milliseconds>(now - *this->freshAt);
   }
   digest.membershipHash = this->options.members.Hash();
@@ -847,7 +985,6 @@
   const bool asks = aMessage.nonce != aState.digest.nonce;
   aState.digest = std::move(aMessage);
   const DigestMessage& digest = aState.digest;
-  this->options.store.NoteHighest(std::max(digest.inForce, digest.highest));
   this->readiness.OnAnswer(aState.host, aState.domain, digest, now);
   if (digest.freshness && aState.domain == this->options.members.Own().failureDomain) {
     const TimePoint contact = now - *digest.freshness;
@@ -886,12 +1023,11 @@
       return aNumber >= aRange.first && aNumber <= aRange.last;
     });
   };
-  for (const TicketRange& range : this->options.store.Missing(kDigestRanges)) {
-    const TicketNumber last = std::min({ range.last, top, inForce + kLongestPulledGap });
-    for (TicketNumber number = range.first; number <= last; ++number) {
-      if (has(number)) {
-        this->pulls.Want(number, aLink, now + kDigestGrace);
-      }
+  // What a peer names is not noted in the store, because it may be wrong.
+  const TicketNumber last = std::min(top, inForce + kLongestPulledGap);
+  for (TicketNumber number = inForce + 1; number <= last; ++number) {
+    if (has(number) && !this->options.store.Header(number)) {
+      this->pulls.Want(number, aLink, now + kDigestGrace);
     }
   }
 }
@@ -902,14 +1038,16 @@
 OverlayNode::OnListingRequest(LinkId aLink, Link&, ListingRequestMessage& aMessage)
 {
   if (aMessage.version < this->listing.Version()) {
-    this->Send(aLink, this->listing.Since(aMessage.version));
+    for (const ListingMessage& part : this->listing.Since(aMessage.version)) {
+      this->Send(aLink, part);
+    }
   }
 }
 
 void
-OverlayNode::OnListing(LinkId, Link&, ListingMessage& aMessage)
+OverlayNode::OnListing(LinkId aLink, Link&, ListingMessage& aMessage)
 {
-  this->TakeListing(this->listing.Apply(aMessage));
+  this->TakeListing(this->listing.Apply(aMessage, aLink));
 }
 
 void
--- a/src/overlay/internal/overlaynode.h
+++ b/src/overlay/internal/overlaynode.h
@@ -6,6 +6,7 @@
 #include "overlay/internal/peerchoice.h"
 #include "overlay/internal/pullqueue.h"
 #include "overlay/internal/readiness.h"
+#include "overlay/internal/reportqueue.h"
 #include "overlay/internal/statetransfer.h"
 #include "overlay/overlay.h"
 #include <map>
@@ -38,11 +39,14 @@
     TimePoint establishedAt;
     TimePoint nextDigest;
     TimePoint nextBuckets;
-    DigestMessage digest;              ///< last one received
+    DigestMessage digest = NoDigest(); ///< last one received
     int hashMismatches = 0;            ///< digests in a row with another membership hash
     std::set<TicketNumber> hasTickets; ///< tickets that the peer announced
   };
 
+  /// \return what is assumed of a peer before its first digest
+  static DigestMessage NoDigest();
+
   /// Attempts to reach a host.
   struct Dial
   {
@@ -93,9 +97,12 @@
   void AfterTickets();
   void SendPulls();
   void RepairTickets(LinkId aLink, const Link& aState);
-  void FloodRecords(const std::vector<MemberRecord>& aRecords, LinkId aFrom, bool aToAll);
+  void FloodRecords(const std::vector<MemberRecord>& aRecords, LinkId aFrom);
+  void SendPendingRecords();
+  void SendQueuedReports();
+  std::vector<LinkId> RandomLinks(std::size_t aCount, LinkId aExcept);
   void FloodSuspicion(const Suspicion& aSuspicion, LinkId aFrom);
-  void Merge(const std::vector<MemberRecord>& aRecords, LinkId aFrom);
+  void Merge(const std::vector<MemberRecord>& aRecords, LinkId aFrom, bool aNews);
   void SendDigest(LinkId aLink, Link& aState);
   void CompareMembers(LinkId aLink, Link& aState);
   void SendDifference(LinkId aLink, const std::vector<std::uint64_t>& aHashes);
@@ -113,6 +120,11 @@
   std::map<std::string, Dial> dials;
   std::set<std::string> targets;
   Ref<const MemberView> view;
+  TimePoint nextChoice;                         ///< earliest time to choose peers anew
+  std::map<std::string, LinkId> pendingRecords; ///< hosts to announce at the next tick; link they came from
+  TimePoint nextCompare;                        ///< earliest time to compare tables with any peer
+  ReportQueue reports;
+  bool allLinked = false; ///< no host is to be dialled until a link or the view changes
   PullQueue pulls;
   TransferSource transferSource;
   TransferSink transferSink;
@@ -120,6 +132,8 @@
   Readiness readiness;
   std::unique_ptr<IConfigReader> reader;
   std::size_t rank = 0;
+  TimePoint startedAt;
+  bool rankedEarly = false; ///< the rank counts hosts that have not announced themselves
   TimePoint lastTick;
   TimePoint knownSince; ///< start or end of the last pause
   TicketNumber lastInForce = 0;
