Do not call an id not run when it could not be recorded

Cause: found by reading: with a full request table a copy of a request was answered not_run although another copy on its way could be claimed and run later. Before: not_run/overload. After: unknown/overload; a test fills a small table. Conclusion: not_run is given only for ids whose refusal is recorded.

--- a/src/entry/internal/requestservice.cpp
+++ b/src/entry/internal/requestservice.cpp
@@ -161,7 +161,8 @@
 {
   switch (aClaim.kind) {
     case ClaimResult::Kind::kFull:
-      aHandler(NotRun(RequestReason::kOverload, "too many recent non-idempotent requests"));
+      // The id could not be recorded, so another copy of the request may still be claimed and run.
+      aHandler(Unknown(RequestReason::kOverload, "too many recent non-idempotent requests"));
       return;
     case ClaimResult::Kind::kInvalid:
       aHandler(NotRun(RequestReason::kBadRequest, "request_id is not an id of this system"));
--- a/src/entry/tests/requestservice_tests.cpp
+++ b/src/entry/tests/requestservice_tests.cpp
@@ -93,6 +93,35 @@
   CHECK(node.answers[1].outcome == RequestOutcome::kNotRun);
 }
 
+// Guards against telling "not run" for an id that could not be recorded, of which another copy is claimed
+// later.
+TEST_CASE("an id that finds the table full is not called not run")
+{
+  EntryFixture node;
+  SeededRandom tableRandom(3);
+  const auto small = MakeRequestTable(node.clock, tableRandom, node.incarnation, 1);
+  const auto service = MakeRequestService({ node.engine,
+                                            *small,
+                                            node.forwarder,
+                                            node.steering,
+                                            node.timers,
+                                            node.clock,
+                                            node.random,
+                                            node.serving,
+                                            node.stats,
+                                            node.tickets,
+                                            node.placement,
+                                            [](const std::function<void()>& aFunction) { aFunction(); } });
+  for (int i = 0; i < 200; ++i) {
+    service->Execute(node.Request(node.NewId()), Origin::kCaller, node.Keep());
+  }
+  REQUIRE_FALSE(node.answers.empty());
+  for (const RequestAnswer& answer : node.answers) {
+    CHECK(answer.outcome == RequestOutcome::kUnknown);
+    CHECK(answer.reason == RequestReason::kOverload);
+  }
+}
+
 // Guards against telling "not run" while a copy of the request is still on its way.
 TEST_CASE("the outcome of an issued id without a request is not yet known")
 {
