Give a partial answer no sooner than a quarter of the caller's deadline

Cause: the demo on a loaded machine (load 90 on 10 cores) gave 8 of 40 kiosk lookups with partial coverage after some 30 ms although the caller waits 1.5 s; the policy ended three hedge delays after the plan.

--- a/src/query/internal/lookuprunner.cpp
+++ b/src/query/internal/lookuprunner.cpp
@@ -642,9 +642,8 @@
     }
   };
   consider(aLookup.planned + aLookup.hedgeDelay);
-  const auto early =
-    std::chrono::duration_cast<Duration>(aLookup.hedgeDelay * this->node.options.earlyDelayFactor);
-  consider(aLookup.planned + early);
+  const TimePoint early = this->EarliestPartial(aLookup);
+  consider(early);
   for (const Part& part : aLookup.parts) {
     if (part.state == PartState::kWaiting) {
       consider(std::min(part.waitUntil, std::max(part.retryAt, aNow + kWaitPoll)));
@@ -654,7 +653,7 @@
     }
   }
   // Early completion is looked for again while parts are late.
-  if (aNow >= aLookup.planned + early && aLookup.caller->policy == CallerPolicy::kLatency) {
+  if (aNow >= early && aLookup.caller->policy == CallerPolicy::kLatency) {
     consider(aNow + kWaitPoll);
   }
   return wake;
@@ -688,6 +687,16 @@
   return true;
 }
 
+TimePoint
+LookupRunner::EarliestPartial(const Lookup& aLookup) const
+{
+  const QueryOptions& options = this->node.options;
+  const auto hedged = std::chrono::duration_cast<Duration>(aLookup.hedgeDelay * options.earlyDelayFactor);
+  const auto share =
+    std::chrono::duration_cast<Duration>((aLookup.decideBy - aLookup.start) * options.earlyDeadlineShare);
+  return std::max(aLookup.planned + hedged, aLookup.start + share);
+}
+
 bool
 LookupRunner::DecideEarly(Lookup& aLookup, TimePoint aNow)
 {
@@ -695,9 +704,8 @@
   if (aLookup.learning || aLookup.caller->policy != CallerPolicy::kLatency) {
     return false;
   }
-  const auto wait = std::chrono::duration_cast<Duration>(aLookup.hedgeDelay * options.earlyDelayFactor);
   const double wanted = std::max(options.earlyFraction, aLookup.caller->minCoverage);
-  if (aNow < aLookup.planned + wait || aLookup.merger.Covered().Fraction() < wanted) {
+  if (aNow < this->EarliestPartial(aLookup) || aLookup.merger.Covered().Fraction() < wanted) {
     return false;
   }
   this->Decide(aLookup, RequestReason::kDeadline);
--- a/src/query/internal/lookuprunner.h
+++ b/src/query/internal/lookuprunner.h
@@ -135,6 +135,8 @@
   /// Ends the lookup when nothing more can come, or the caller's policy says so.
   /// \return whether it ended
   bool DecideIfSettled(Lookup& aLookup);
+  /// \return the time from which a partial answer may be given to a caller that prefers low latency
+  TimePoint EarliestPartial(const Lookup& aLookup) const;
   bool DecideEarly(Lookup& aLookup, TimePoint aNow);
   void Decide(Lookup& aLookup, RequestReason aReason);
   void Finish(Lookup& aLookup, RequestAnswer aAnswer);
--- a/src/query/query.h
+++ b/src/query/query.h
@@ -48,6 +48,9 @@
   Duration queueWait = std::chrono::milliseconds(50); ///< policy kLatency; kCoverage waits to the deadline
   double earlyFraction = 0.9;                         ///< coverage at which kLatency may end early
   double earlyDelayFactor = 3.0;                      ///< early end after this many hedge delays
+  /// Early end not before this part of the caller's deadline. A caller that waits 1.5 s anyway gains nothing
+  /// from a partial answer after 30 ms.
+  double earlyDeadlineShare = 0.25;
   std::uint32_t maxReplans = 2;
   Duration ramp = std::chrono::seconds(10); ///< time over which a cold leaf gets its full share
 };
