Judge a closed connection by the run of the daemon that it belongs to

The connections had been opened to a daemon that was killed 0.17 to 0.34 s before the request was sent on them; the load generator had not read their end yet, since waiting for the killed process had held its event loop. The check looked for a kill 0.1 s around the request. It now excuses a kill between the start of the connection and the end of the request, which is exact, and no kill before the connection began. The rule is a function with tests for both directions. Ruled out: a daemon that closes early; both daemons had already ended.

Replies with wrong_node are counted by the age of the node.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -15,7 +15,7 @@
 from typing import Any, Dict, List, Optional
 
 from soak import deployment as deployments
-from soak.checks import Checker, Tickets, read_executions
+from soak.checks import Checker, Tickets, closing_reason, read_executions
 from soak.client import Client
 from soak.faults import START_GRACE_S, Injector, forced_round, plan_round
 from soak.load import Load
@@ -180,11 +180,9 @@
         draining = self.event_times("event=lifecycle", "to=draining")
         for exchange in self.load.closed:
             process = self.processes[exchange.host]
-            killed = process.killed_during(exchange.sent - 0.1, exchange.ended + 0.1)
-            drained = any(moment <= exchange.sent for moment in draining.get(exchange.host, [])
-                          if not any(moment < start <= exchange.sent for start in process.started))
-            self.checker.counts["closed_killed" if killed else "closed_drained" if drained else "closed_other"] += 1
-            if not killed and not drained:
+            reason = closing_reason(exchange, process.kills, draining.get(exchange.host, []), process.started)
+            self.checker.counts[f"closed_{reason}"] += 1
+            if reason == "other":
                 self.trace.violation(exchange.ended, "closed_without_reply",
                                      f"{exchange.host} {exchange.kind} sent {exchange.ended - exchange.sent:.3f} s before")
 
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -198,6 +198,17 @@
             self.fail(first["answered"], "results_differ", f"{request_id} {results}")
 
 
+def closing_reason(exchange: Exchange, kills: List[float], drains: List[float], starts: List[float]) -> str:
+    """Why a connection may have closed without a reply: killed, drained, or other, which is a violation."""
+    # A connection that began before a kill ends with it, also when its end is noticed after a request was sent.
+    if any(exchange.connecting <= moment <= exchange.ended for moment in kills):
+        return "killed"
+    for drain in drains:
+        if drain <= exchange.sent and not any(drain < start <= exchange.sent for start in starts):
+            return "drained"
+    return "other"
+
+
 def hits_problem(hits: List[Dict[str, Any]], version: int, question: Question) -> str:
     documents = [hit["document"] for hit in hits]
     ranks = [(-hit["score"], hit["document"]) for hit in hits]
--- a/soak/client.py
+++ b/soak/client.py
@@ -19,6 +19,7 @@
 
     host: str
     kind: str
+    connecting: float = 0.0  # when the connection that carried it began to connect
     sent: float = 0.0
     ended: float = 0.0
     deadline_s: float = 0.0
@@ -36,6 +37,7 @@
         self.buffer = b""
         self.open = False
         self.idle_since = 0.0
+        self.connecting = 0.0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
@@ -101,9 +103,12 @@
                 return connection
             connection.close()
         loop = asyncio.get_running_loop()
+        begin = time.time()
         try:
             made = loop.create_connection(lambda: Connection(lambda data: self.unexpected(name, data)), address, port)
-            return (await asyncio.wait_for(made, CONNECT_LIMIT_S))[1]
+            connection = (await asyncio.wait_for(made, CONNECT_LIMIT_S))[1]
+            connection.connecting = begin
+            return connection
         except (OSError, asyncio.TimeoutError):
             return None
 
@@ -114,6 +119,7 @@
         if connection is None:
             exchange.failure = "refused"
             return exchange
+        exchange.connecting = connection.connecting
         done, _ = await asyncio.wait([connection.write(request)], timeout=limit)
         exchange.ended = time.time()
         result = next(iter(done)).result() if done else None
--- a/soak/load.py
+++ b/soak/load.py
@@ -16,6 +16,7 @@
 GRACE_S = 3.0  # after the deadline; a reply that takes longer counts as missing
 LAG_TICK_S = 0.01
 DELAY_INTERVAL_S = 0.1
+GROWTH_DELAY_S = 90.0  # a node without a neighbour's history holds no connections for this long after its start
 ADDRESS_TTL_S = 3.0
 SIZES = ["sr626", "sr920", "cr2032", "za10", "za312", "za13", "za675"]
 MACHINES = 40
@@ -126,6 +127,9 @@
                 process.sample_delay()
             lag = self.lag_during(exchange.sent, exchange.ended) + process.delay_during(exchange.sent, exchange.ended)
             self.checker.answer(exchange, paused, lag)
+            if exchange.reply.get("reason") == "wrong_node":
+                age = exchange.ended - process.started[-1]
+                self.checker.counts[f"wrong_node_age_{'below' if age < GROWTH_DELAY_S else 'above'}_growth_delay"] += 1
             return
         self.checker.counts[exchange.failure] += 1
         if exchange.failure == "closed":
--- a/soak/process.py
+++ b/soak/process.py
@@ -64,8 +64,9 @@
 
     def kill(self) -> None:
         self.killed = self.killed or self.running()
+        before = time.time()
         if self.signal(signal.SIGKILL):
-            self.kills.append(time.time())
+            self.kills.append(before)
             self.trace.event(f"SIGKILL {self.name}")
             self.end_pause()
             assert self.child is not None
--- a/soak/tests/checks_tests.py
+++ b/soak/tests/checks_tests.py
@@ -244,6 +244,20 @@
         self.assertFalse(process.killed_during(7.1, 9.0))
 
 
+class ClosedTest(unittest.TestCase):
+    def test_reasons_of_closed_connections(self):
+        """Guards against a lost reply that is excused by a kill or a stop at another time."""
+        cases = [
+            ("killed", [10.5], [], []), ("killed", [9.5], [], []),  # during the request; before, on its connection
+            ("other", [8.5], [], []), ("other", [11.5], [], []),  # before the connection; after its end
+            ("drained", [], [9.9], [1.0]), ("other", [], [10.5], [1.0]),  # before and after the request was sent
+            ("other", [], [8.0], [9.0]), ("other", [], [], []),  # an earlier run; no reason at all
+        ]
+        for expected, kills, drains, starts in cases:
+            exchange = Exchange("entry-1", "lookup", connecting=9.0, sent=10.0, ended=11.0, failure="closed")
+            self.assertEqual(checks.closing_reason(exchange, kills, drains, starts), expected, (kills, drains, starts))
+
+
 class PlanTest(unittest.TestCase):
     def test_a_seed_gives_one_plan(self):
         plans = [faults.plan_round(random.Random(SEED), 60.0) for _ in range(2)]
