Try the other holders when one does not serve a request yet

A node also issued ids for a service that it does not hold, when a peer asked. Ruled out: lost links (the reason would be another). After: a lookup that a holder certainly did not run goes to up to four holders in turn, each one hop; ids are issued by nodes that hold the service.

--- a/src/entry/iforwarder.h
+++ b/src/entry/iforwarder.h
@@ -39,6 +39,7 @@
 
   /// Asks a holder of a service for request ids.
   virtual void IssueIds(const std::string& aHost,
+                        const std::string& aService,
                         std::uint32_t aCount,
                         TimePoint aDeadline,
                         Post aPost,
--- a/src/entry/internal/answercodec.cpp
+++ b/src/entry/internal/answercodec.cpp
@@ -207,8 +207,10 @@
 std::string
 EncodeIdQuestion(const IdQuestion& aQuestion)
 {
-  return EncodeCbor(
-    { { "i", aQuestion.id }, { "n", aQuestion.count }, { "ms", aQuestion.remaining.count() } });
+  return EncodeCbor({ { "i", aQuestion.id },
+                      { "s", aQuestion.service },
+                      { "n", aQuestion.count },
+                      { "ms", aQuestion.remaining.count() } });
 }
 
 Result<IdQuestion>
@@ -217,6 +219,7 @@
   return DecodeMap<IdQuestion>(aBytes, "entry.decode_id_question", [](const Json& aValue) {
     IdQuestion question;
     question.id = aValue.at("i").get<std::string>();
+    question.service = aValue.at("s").get<std::string>();
     question.count = aValue.at("n").get<std::uint32_t>();
     question.remaining =
       std::chrono::milliseconds(std::min(aValue.at("ms").get<std::uint64_t>(), kMaxRemainingMs));
--- a/src/entry/internal/answercodec.h
+++ b/src/entry/internal/answercodec.h
@@ -40,6 +40,7 @@
 struct IdQuestion
 {
   std::string id;
+  std::string service;
   std::uint32_t count = 0;
   std::chrono::milliseconds remaining{ 0 };
 };
--- a/src/entry/internal/forwardedrequests.cpp
+++ b/src/entry/internal/forwardedrequests.cpp
@@ -79,12 +79,13 @@
       Recover([&] { return DecodeIdQuestion(aPayload); }, [](const Error&) { return IdQuestion{}; });
     const auto [service, post] = aPick();
     post([service = service, question, origin, aPostToControl, aRespond, deadline = aClock.Now()] {
-      service->IssueIds("", question.count, deadline, origin, [aPostToControl, aRespond](const auto& aIds) {
-        const auto* ids = std::get_if<std::vector<std::string>>(&aIds);
-        aPostToControl([aRespond, bytes = EncodeIds(ids != nullptr ? *ids : std::vector<std::string>())] {
-          aRespond(bytes);
+      service->IssueIds(
+        question.service, question.count, deadline, origin, [aPostToControl, aRespond](const auto& aIds) {
+          const auto* ids = std::get_if<std::vector<std::string>>(&aIds);
+          aPostToControl([aRespond, bytes = EncodeIds(ids != nullptr ? *ids : std::vector<std::string>())] {
+            aRespond(bytes);
+          });
         });
-      });
     });
   });
 }
--- a/src/entry/internal/forwarder.cpp
+++ b/src/entry/internal/forwarder.cpp
@@ -161,13 +161,14 @@
                        AnswerHandler aHandler)
 {
   const auto remaining = std::chrono::duration_cast<std::chrono::milliseconds>(aDeadline - this->clock.Now());
-  const IdQuestion question{ aId, 0, std::max(remaining, std::chrono::milliseconds(0)) };
+  const IdQuestion question{ aId, "", 0, std::max(remaining, std::chrono::milliseconds(0)) };
   this->CallOwner(
     aOwner, kOutcomeMethod, EncodeIdQuestion(question), aDeadline, std::move(aPost), std::move(aHandler));
 }
 
 void
 Forwarder::IssueIds(const std::string& aHost,
+                    const std::string& aService,
                     std::uint32_t aCount,
                     TimePoint aDeadline,
                     Post aPost,
@@ -180,7 +181,7 @@
   }
   this->Call(*peer,
              kIssueIdsMethod,
-             EncodeIdQuestion({ "", aCount, std::chrono::milliseconds(0) }),
+             EncodeIdQuestion({ "", aService, aCount, std::chrono::milliseconds(0) }),
              aDeadline,
              std::move(aPost),
              [handler = std::move(aHandler)](const auto& aReply) {
--- a/src/entry/internal/forwarder.h
+++ b/src/entry/internal/forwarder.h
@@ -35,6 +35,7 @@
                    Post aPost,
                    AnswerHandler aHandler) override;
   void IssueIds(const std::string& aHost,
+                const std::string& aService,
                 std::uint32_t aCount,
                 TimePoint aDeadline,
                 Post aPost,
--- a/src/entry/internal/requestservice.cpp
+++ b/src/entry/internal/requestservice.cpp
@@ -8,6 +8,8 @@
 
 // A resent id is usually finished within a leaf's service time; more frequent looks would only cost time.
 constexpr std::chrono::milliseconds kFindInterval{ 10 };
+constexpr std::size_t kMaxTargets = 4;   ///< holders tried for one request
+constexpr std::size_t kTargetDraws = 16; ///< random draws to find one that was not tried
 
 RequestAnswer
 NotRun(RequestReason aReason, std::string aDetail)
@@ -15,6 +17,14 @@
   return MakeAnswer(RequestOutcome::kNotRun, aReason, std::move(aDetail));
 }
 
+/// \return whether another holder may serve what this one certainly did not run
+bool
+IsElsewhere(const RequestAnswer& aAnswer)
+{
+  return aAnswer.outcome == RequestOutcome::kNotRun &&
+         (aAnswer.reason == RequestReason::kWrongNode || aAnswer.reason == RequestReason::kNotReady);
+}
+
 RequestAnswer
 Unknown(RequestReason aReason, std::string aDetail)
 {
@@ -88,17 +98,41 @@
     aHandler(NotRun(RequestReason::kWrongNode, "this node holds no connections to the service"));
     return {};
   }
-  this->ForwardLookup(aRequest, aHandler);
+  this->ForwardLookup(aRequest, {}, aHandler);
   return {};
 }
 
+Result<std::string>
+RequestService::NextTarget(const std::string& aService, const std::set<std::string>& aTried)
+{
+  for (std::size_t draw = 0; draw < kTargetDraws && aTried.size() < kMaxTargets; ++draw) {
+    BOOST_LEAF_AUTO(host, this->parts.steering.ForwardTarget(aService, this->parts.random));
+    if (aTried.count(host) == 0) {
+      return host;
+    }
+  }
+  return Fail(
+    ErrorCode::kUnavailable, "entry.forward", "", "no holder of the service serves the request now");
+}
+
 void
-RequestService::ForwardLookup(const LookupRequest& aRequest, const AnswerHandler& aHandler)
+RequestService::ForwardLookup(const LookupRequest& aRequest,
+                              std::set<std::string> aTried,
+                              const AnswerHandler& aHandler)
 {
   Recover(
     [&]() -> Result<void> {
-      BOOST_LEAF_AUTO(host, this->parts.steering.ForwardTarget(aRequest.service, this->parts.random));
-      this->parts.forwarder.Lookup(host, aRequest, this->parts.post, aHandler);
+      BOOST_LEAF_AUTO(host, this->NextTarget(aRequest.service, aTried));
+      aTried.insert(host);
+      const auto onAnswer = [this, aRequest, aTried, aHandler](const RequestAnswer& aAnswer) {
+        // A node that was placed a short time ago may not hold connections yet.
+        if (IsElsewhere(aAnswer) && this->parts.clock.Now() < aRequest.deadline) {
+          this->ForwardLookup(aRequest, aTried, aHandler);
+          return;
+        }
+        aHandler(aAnswer);
+      };
+      this->parts.forwarder.Lookup(host, aRequest, this->parts.post, onAnswer);
       return {};
     },
     [&aHandler](const Error& aError) { aHandler(NotRun(RequestReason::kWrongNode, aError.detail)); });
@@ -230,13 +264,41 @@
       if (!this->parts.serving.Serving()) {
         return Fail(ErrorCode::kUnavailable, "entry.issue_ids", "", DetailOf(RequestReason::kNotReady));
       }
-      if (aOrigin == Origin::kPeer || this->HoldsService(aService)) {
+      if (this->HoldsService(aService)) {
         BOOST_LEAF_AUTO(ids, this->parts.requests.Issue(aCount));
         aHandler(std::move(ids));
         return {};
       }
-      BOOST_LEAF_AUTO(host, this->parts.steering.ForwardTarget(aService, this->parts.random));
-      this->parts.forwarder.IssueIds(host, aCount, aDeadline, this->parts.post, aHandler);
+      if (aOrigin == Origin::kPeer) {
+        return Fail(
+          ErrorCode::kUnavailable, "entry.issue_ids", "", "this node holds no connections to the service");
+      }
+      this->ForwardIssue(aService, aCount, aDeadline, {}, aHandler);
+      return {};
+    },
+    [&aHandler](const Error& aError) { aHandler(aError); });
+}
+
+void
+RequestService::ForwardIssue(const std::string& aService,
+                             std::uint32_t aCount,
+                             TimePoint aDeadline,
+                             std::set<std::string> aTried,
+                             const IdsHandler& aHandler)
+{
+  Recover(
+    [&]() -> Result<void> {
+      BOOST_LEAF_AUTO(host, this->NextTarget(aService, aTried));
+      aTried.insert(host);
+      const auto onIds = [this, aService, aCount, aDeadline, aTried, aHandler](const auto& aIds) {
+        // Ids that were not issued do no harm, so any failure may be tried elsewhere.
+        if (std::holds_alternative<Error>(aIds) && this->parts.clock.Now() < aDeadline) {
+          this->ForwardIssue(aService, aCount, aDeadline, aTried, aHandler);
+          return;
+        }
+        aHandler(aIds);
+      };
+      this->parts.forwarder.IssueIds(host, aService, aCount, aDeadline, this->parts.post, onIds);
       return {};
     },
     [&aHandler](const Error& aError) { aHandler(aError); });
--- a/src/entry/internal/requestservice.h
+++ b/src/entry/internal/requestservice.h
@@ -2,6 +2,7 @@
 #define YP_ENTRY_INTERNAL_REQUESTSERVICE_H
 
 #include "entry/entry.h"
+#include <set>
 
 namespace yp {
 
@@ -27,7 +28,17 @@
   /// \return why the caller may not use the service now; kNone when it may
   RequestReason Refusal(const std::string& aCaller, const std::string& aService) const;
   bool HoldsService(const std::string& aService) const;
-  void ForwardLookup(const LookupRequest& aRequest, const AnswerHandler& aHandler);
+  /// Chooses a holder that was not tried before.
+  Result<std::string> NextTarget(const std::string& aService, const std::set<std::string>& aTried);
+  /// \param aTried holders that said that they do not serve the request
+  void ForwardLookup(const LookupRequest& aRequest,
+                     std::set<std::string> aTried,
+                     const AnswerHandler& aHandler);
+  void ForwardIssue(const std::string& aService,
+                    std::uint32_t aCount,
+                    TimePoint aDeadline,
+                    std::set<std::string> aTried,
+                    const IdsHandler& aHandler);
   void RunClaimed(const ExecuteRequest& aRequest, const AnswerHandler& aHandler);
   void AnswerKnown(const std::string& aId,
                    const ClaimResult& aClaim,
--- a/src/entry/tests/entryfixture.h
+++ b/src/entry/tests/entryfixture.h
@@ -57,7 +57,12 @@
     this->targets.push_back(ToString(aOwner));
     aHandler(this->answer);
   }
-  void IssueIds(const std::string& aHost, std::uint32_t, TimePoint, Post, IdsHandler aHandler) override
+  void IssueIds(const std::string& aHost,
+                const std::string&,
+                std::uint32_t,
+                TimePoint,
+                Post,
+                IdsHandler aHandler) override
   {
     this->targets.push_back(aHost);
     aHandler(std::vector<std::string>{ "foreign-id" });
@@ -87,10 +92,12 @@
     answer.addresses.push_back({ "entry-1", { "127.0.0.1", 7001 }, "centrs", 1.0 });
     return answer;
   }
-  Result<std::string> ForwardTarget(const std::string&, IRandom&) const override
+  Result<std::string> ForwardTarget(const std::string&, IRandom& aRandom) const override
   {
-    return std::string("entry-2");
+    return "entry-" + std::to_string(2 + aRandom.Below(this->holders));
   }
+
+  std::size_t holders = 1; ///< entry-2 and as many after it
 };
 
 /// A request service over fakes: caller "screen" of the service "kiosk", which this node holds, and "refill",
--- a/src/entry/tests/requestservice_tests.cpp
+++ b/src/entry/tests/requestservice_tests.cpp
@@ -1,5 +1,6 @@
 #include "entry/internal/answercodec.h"
 #include "entryfixture.h"
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
 
@@ -161,6 +162,43 @@
   CHECK(node.answers.at(1).reason == RequestReason::kWrongNode);
 }
 
+// Guards against refusing a lookup because one holder, placed a short time ago, has no connections yet.
+TEST_CASE("a lookup that a holder does not serve yet goes to the other holders, each once")
+{
+  EntryFixture node;
+  node.steering.holders = 3;
+  LookupRequest lookup;
+  lookup.caller = "screen";
+  lookup.service = "refill";
+  lookup.deadline = node.clock.Now() + std::chrono::seconds(1);
+  node.forwarder.answer = MakeAnswer(RequestOutcome::kNotRun, RequestReason::kWrongNode, "");
+  node.service->Lookup(lookup, Origin::kCaller, node.Keep());
+  std::sort(node.forwarder.targets.begin(), node.forwarder.targets.end());
+  CHECK(node.forwarder.targets == std::vector<std::string>{ "entry-2", "entry-3", "entry-4" });
+  REQUIRE(node.answers.size() == 1);
+  CHECK(node.answers[0].outcome == RequestOutcome::kNotRun);
+  node.forwarder.targets.clear();
+  node.forwarder.answer = MakeAnswer(RequestOutcome::kUnknown, RequestReason::kConnectionLost, "");
+  node.service->Lookup(lookup, Origin::kCaller, node.Keep());
+  CHECK(node.forwarder.targets.size() == 1);
+}
+
+// Guards against ids of a node that cannot run the request they are for.
+TEST_CASE("ids are issued only by a node that holds the service")
+{
+  EntryFixture node;
+  std::vector<std::variant<std::vector<std::string>, Error>> replies;
+  const auto keep = [&replies](const auto& aReply) { replies.push_back(aReply); };
+  const TimePoint deadline = node.clock.Now() + std::chrono::seconds(1);
+  node.service->IssueIds("kiosk", 1, deadline, Origin::kPeer, keep);
+  node.service->IssueIds("refill", 1, deadline, Origin::kPeer, keep);
+  node.service->IssueIds("refill", 1, deadline, Origin::kCaller, keep);
+  REQUIRE(replies.size() == 3);
+  CHECK(std::holds_alternative<std::vector<std::string>>(replies[0]));
+  CHECK(std::holds_alternative<Error>(replies[1]));
+  CHECK(std::get<std::vector<std::string>>(replies[2]).front() == "foreign-id");
+}
+
 // Guards against work for a caller that has gone.
 TEST_CASE("a lookup is abandoned through the function that was returned")
 {
