Let hosts of a failure domain that start together take their shares at once

Ruled out: lost links and draining, since the reason was wrong_node and the logs show placement_history_read sets=0. Before: an empty history counted as read. After: all placed nodes of the domain are asked; when none has a history the node takes its own share among all placed hosts, never another's. Callers are served only once a placement is known. A test covers both starts.

--- a/src/app/internal/controlplane.cpp
+++ b/src/app/internal/controlplane.cpp
@@ -152,7 +152,9 @@
   } else {
     this->lifecycle->LostReadiness();
   }
-  this->node.serving.Tick(ready && this->lifecycle->Serves());
+  // Without a placement a request could not be sent anywhere.
+  const bool placed = this->node.placement.Load() != nullptr;
+  this->node.serving.Tick(ready && placed && this->lifecycle->Serves());
 }
 
 void
--- a/src/app/internal/historyexchange.cpp
+++ b/src/app/internal/historyexchange.cpp
@@ -8,20 +8,19 @@
 
 constexpr const char* kHistoryMethod = "placement_history";
 constexpr std::chrono::milliseconds kReplyWait{ 1000 };
-// After this many failures the node goes on without a history and waits for the growth delay instead.
-constexpr std::size_t kMaxFailures = 4;
+constexpr std::size_t kAttempts = 2; ///< failed calls to a node before it counts as asked
+// Older than any growth delay, so that the share among these hosts is taken at once.
+constexpr std::chrono::hours kSettledAge{ 1 };
 constexpr CodecLimits kLimits{ 1024 * 1024, 6 };
 
+/// \return the placed members of this node's failure domain, itself included
 std::vector<const MemberRecord*>
-ReadyNeighbours(const MemberView& aView, const std::string& aSelf)
+PlacedNeighbours(const MemberView& aView, const std::string& aSelf)
 {
   std::vector<const MemberRecord*> neighbours;
   const MemberStatus* own = aView.Find(aSelf);
   for (const MemberStatus& member : aView.members) {
-    const bool candidate = own != nullptr && member.record.failureDomain == own->record.failureDomain &&
-                           member.record.host != aSelf && member.record.state == MemberState::kReady &&
-                           !member.unreachable;
-    if (candidate) {
+    if (own != nullptr && member.placed && member.record.failureDomain == own->record.failureDomain) {
       neighbours.push_back(&member.record);
     }
   }
@@ -80,45 +79,73 @@
   if (this->settled || this->asking) {
     return this->settled;
   }
-  const std::vector<const MemberRecord*> neighbours = ReadyNeighbours(aView, this->self);
-  this->settled = neighbours.empty() || this->failures >= kMaxFailures;
-  if (!this->settled) {
-    this->Ask(*neighbours[this->nextPeer++ % neighbours.size()]);
+  for (const MemberRecord* neighbour : PlacedNeighbours(aView, this->self)) {
+    if (neighbour->host != this->self && this->attempts[neighbour->host] < kAttempts) {
+      this->Ask(*neighbour);
+      return false;
+    }
   }
-  return this->settled;
+  this->ImportCurrentHosts(aView);
+  this->settled = true;
+  return true;
 }
 
 void
 HistoryExchange::Ask(const MemberRecord& aPeer)
 {
   this->asking = true;
+  const std::string host = aPeer.host;
   this->calls.Call(
-    aPeer.peerEndpoint, kHistoryMethod, "", this->clock.Now() + kReplyWait, [this](const auto& aReply) {
-      this->OnReply(aReply);
+    aPeer.peerEndpoint, kHistoryMethod, "", this->clock.Now() + kReplyWait, [this, host](const auto& aReply) {
+      this->OnReply(host, aReply);
     });
 }
 
 void
-HistoryExchange::OnReply(const std::variant<std::string, Error>& aReply)
+HistoryExchange::OnReply(const std::string& aHost, const std::variant<std::string, Error>& aReply)
 {
   this->asking = false;
+  const auto failed = [this, &aHost](const Error& aError) {
+    ++this->attempts[aHost];
+    LogError("placement_history_not_read", aError);
+    return false;
+  };
   if (const Error* error = std::get_if<Error>(&aReply)) {
-    ++this->failures;
-    LogError("placement_history_not_read", *error);
+    failed(*error);
     return;
   }
-  Recover(
-    [&]() -> Result<void> {
-      BOOST_LEAF_AUTO(history, DecodeHistory(std::get<std::string>(aReply)));
-      this->planner.ImportHistory(history, this->clock.Now());
-      this->settled = true;
-      LogEvent(LogLevel::kInfo, "placement_history_read", { { "sets", history.sets.size() } });
-      return {};
-    },
-    [this](const Error& aError) {
-      ++this->failures;
-      LogError("placement_history_not_read", aError);
-    });
+  this->settled = Recover([&] { return this->Import(std::get<std::string>(aReply)); }, failed);
+  if (!this->settled) {
+    this->attempts[aHost] = kAttempts;
+  }
+}
+
+Result<bool>
+HistoryExchange::Import(const std::string& aBytes)
+{
+  BOOST_LEAF_AUTO(history, DecodeHistory(aBytes));
+  if (history.sets.empty()) {
+    return false;
+  }
+  this->planner.ImportHistory(history, this->clock.Now());
+  LogEvent(LogLevel::kInfo, "placement_history_read", { { "sets", history.sets.size() } });
+  return true;
+}
+
+void
+HistoryExchange::ImportCurrentHosts(const MemberView& aView)
+{
+  PlacementHistory history;
+  PastHosts current;
+  current.age = kSettledAge;
+  for (const MemberRecord* neighbour : PlacedNeighbours(aView, this->self)) {
+    history.failureDomain = neighbour->failureDomain;
+    current.hosts.push_back(neighbour->host);
+  }
+  std::sort(current.hosts.begin(), current.hosts.end());
+  LogEvent(LogLevel::kInfo, "placement_history_none", { { "hosts", current.hosts.size() } });
+  history.sets.push_back(std::move(current));
+  this->planner.ImportHistory(history, this->clock.Now());
 }
 
 } // namespace yp
--- a/src/app/internal/historyexchange.h
+++ b/src/app/internal/historyexchange.h
@@ -4,6 +4,8 @@
 #include "membership/membershiptypes.h"
 #include "placement/iplacement.h"
 #include "rpc/ipeercalls.h"
+#include <map>
+#include <vector>
 
 namespace yp {
 
@@ -14,13 +16,15 @@
 public:
   HistoryExchange(IPeerCalls& aCalls, const IClock& aClock, IPlacementPlanner& aPlanner, std::string aSelf);
 
-  /// Asks ready nodes of the own failure domain in turn until one has answered.
-  /// \return whether placement may begin: a history was taken over, or nobody has one
+  /// Asks the placed nodes of the own failure domain, until one has a history or all were asked.
+  /// \return whether placement may begin
   bool Settle(const MemberView& aView);
 
 private:
   void Ask(const MemberRecord& aPeer);
-  void OnReply(const std::variant<std::string, Error>& aReply);
+  void OnReply(const std::string& aHost, const std::variant<std::string, Error>& aReply);
+  Result<bool> Import(const std::string& aBytes);
+  void ImportCurrentHosts(const MemberView& aView);
 
   IPeerCalls& calls;
   const IClock& clock;
@@ -28,8 +32,7 @@
   std::string self;
   bool asking = false;
   bool settled = false;
-  std::size_t nextPeer = 0;
-  std::size_t failures = 0;
+  std::map<std::string, std::size_t> attempts; ///< by host; kAttempts of them are enough
 };
 
 /// \return the history as bytes for a peer
--- a/src/app/tests/loadexchange_tests.cpp
+++ b/src/app/tests/loadexchange_tests.cpp
@@ -1,6 +1,8 @@
 #include "app/internal/historyexchange.h"
+
 #include "app/internal/loadexchange.h"
 #include "framework/global/tests/faketimers.h"
+#include "placement/placement.h"
 #include "rpc/rpc.h"
 #include "rpc/tests/fakepeernetwork.h"
 #include <catch2/catch.hpp>
@@ -87,3 +89,41 @@
     REQUIRE(decode(bytes.substr(0, size)).failureDomain == "bad");
   }
 }
+
+// Guards against a failure domain without service for the growth delay when all of its nodes start together.
+TEST_CASE("nodes that start together take their shares at once, and a lone one only its own")
+{
+  const bool neighbourAnswers = GENERATE(true, false);
+  Pair nodes;
+  for (MemberStatus& member : nodes.view.members) {
+    member.record.failureDomain = "centrs";
+  }
+  nodes.view.self = "a";
+  const auto plannerA = MakePlacementPlanner();
+  const auto plannerB = MakePlacementPlanner();
+  HistoryExchange a(*nodes.callsA, nodes.clock, *plannerA, "a");
+  std::unique_ptr<HistoryExchange> b;
+  if (neighbourAnswers) {
+    b = std::make_unique<HistoryExchange>(*nodes.callsB, nodes.clock, *plannerB, "b");
+  } else {
+    nodes.fabric.Cut({ "127.0.0.1", 'b' });
+  }
+  for (int i = 0; i < 50 && !a.Settle(nodes.view); ++i) {
+    nodes.timers.RunFor(std::chrono::milliseconds(100));
+  }
+  REQUIRE(a.Settle(nodes.view));
+
+  TicketState state;
+  Ref<FleetSpec> fleet(new FleetSpec);
+  fleet->failureDomains = { { "centrs", "riga" } };
+  state.fleet = fleet;
+  Ref<ServiceSpec> service(new ServiceSpec);
+  service->name = "kiosk";
+  service->connections = 25;
+  service->layouts = { { 1, { { 0, 10 } } } };
+  service->leafs = { { "leaf", "server", { "127.0.0.1", 9000 }, "centrs", 1, 0 } };
+  state.services["kiosk"] = service;
+  const Ref<const Placement> placement = plannerA->Plan(state, nodes.view, nodes.clock.Now());
+  REQUIRE(placement->Holds("kiosk"));
+  CHECK(placement->services.at("kiosk").ownConnections.at("leaf") == 10);
+}
