--- a/experiments/driver/report.py
+++ b/experiments/driver/report.py
@@ -82,10 +82,15 @@
                       "$d using 1:2 axes x1y2 with impulses title 'requests not answered'"])
 
 
+def quote(text: str) -> str:
+    """The text for a single-quoted gnuplot string."""
+    return text.replace("'", "''")
+
+
 def plot(experiment: Experiment, data: dict) -> None:
     body = (_plot_bars if experiment.plot["kind"] == "bars" else _plot_timeline)(experiment, data)
     head = (f"set terminal svg size 900,420 dynamic background 'white'\nset output '{FOLDER}/{experiment.name}.svg'\n"
-            f"set title '{experiment.plot.get('title', experiment.name)}' noenhanced\n")
+            f"set title '{quote(experiment.plot.get('title', experiment.name))}' noenhanced\n")
     subprocess.run(["gnuplot"], input=head + body + "\n", text=True, check=True, timeout=30)
 
 
--- a/experiments/driver/tests/test_driver.py
+++ b/experiments/driver/tests/test_driver.py
@@ -138,6 +138,10 @@
     def test_variant_names_become_file_names(self) -> None:
         self.assertEqual(runner.file_name("20 lookups/s"), "20-lookups-s")
 
+    # Guards against a title with an apostrophe, which ended the plot after a whole run.
+    def test_titles_are_quoted(self) -> None:
+        self.assertEqual(report.quote("the leafs' own"), "the leafs'' own")
+
     def test_replicas_lie_in_different_failure_domains(self) -> None:
         service = {"documents": 80}
         rows = layout.leaf_rows("s", service, {"layout": 1, "shards": 8, "replicas": 2}, "127.10.100", 1, ["a", "b"])
