Count requests cut off over all loads of an experiment

Cause: the rolling restart's cut_off was of the kiosk lookups alone, without the refill slips. Changed: it is summed over all loads.

--- a/experiments/driver/runner.py
+++ b/experiments/driver/runner.py
@@ -165,6 +165,8 @@
     if player.failures:
         raise RuntimeError("; ".join(player.failures))
     figures = measure.of_load(results[0])
+    # A request that is cut off counts for any caller; the other figures are of the first load.
+    figures["cut_off"] = sum(result["cut_off"] for result in results)
     figures |= measure.of_counters(before, deployment.counters())
     used = deployment.daemon_cpu_s() - cpu
     figures["daemon_cores"] = used / (time.monotonic() - began)
