--- a/experiments/fleet/control_cost.py
+++ b/experiments/fleet/control_cost.py
@@ -165,6 +165,6 @@
 def conclude(report: Report) -> None:
     project(report)
     report.rows.sort(key=lambda row: row["nodes"])
-    report.notes.append("Bytes are payloads of frames between peers, in and out together, without TCP, WebSocket headers "
-                        "and the platform's calls. Processor time is that of the whole process without callers.")
+    report.notes.append("Bytes are payloads of frames between peers, in and out together, without TCP, WebSocket "
+                        "headers and the platform's calls. Processor time is that of the whole process without callers.")
     report.notes.append("A projection from some hundred nodes to 4,700 is linear and outside the measured range.")
