--- a/src/query/internal/lookuprunner.cpp
+++ b/src/query/internal/lookuprunner.cpp
@@ -6,6 +6,9 @@
 namespace {
 
 // Rooms that another thread makes are not announced here, so waiting parts look again after this time.
+// Admitting fewer lookups helps when many shards are full, not when one shard has lost replicas, so a quarter
+// of the parts has to have waited.
+constexpr std::size_t kQueuedShare = 4;
 constexpr Duration kWaitPoll = std::chrono::milliseconds(5);
 constexpr Duration kHedgePoll = std::chrono::milliseconds(2);
 constexpr std::uint32_t kMaxHedges = 2;
@@ -299,7 +302,7 @@
   }
   this->CountAttempt(aPurpose);
   Part& part = aLookup.parts[aPart];
-  aLookup.queued |= this->WaitedLong(aLookup, part, now);
+  part.waitedLong |= this->WaitedLong(aLookup, part, now);
   part.roomSince = TimePoint();
   part.state = PartState::kSent;
   part.tried |= 1ULL << aReplica;
@@ -755,10 +758,11 @@
   }
   const std::uint64_t handle = aLookup.handle;
   const TimePoint now = this->clock.Now();
+  std::size_t waited = 0;
   for (const Part& part : aLookup.parts) {
-    aLookup.queued |= this->WaitedLong(aLookup, part, now);
+    waited += part.waitedLong || this->WaitedLong(aLookup, part, now) ? 1 : 0;
   }
-  this->node.shedder.OnEnd(aLookup.queued, now);
+  this->node.shedder.OnEnd(waited * kQueuedShare >= aLookup.parts.size() && waited > 0, now);
   this->node.stats.RecordAnswer(aAnswer, this->clock.Now() - aLookup.start);
   this->CancelAll(aLookup);
   this->timers.Cancel(aLookup.timer);
--- a/src/query/internal/lookuprunner.h
+++ b/src/query/internal/lookuprunner.h
@@ -65,6 +65,7 @@
     TimePoint sentAt;
     TimePoint retryAt;
     TimePoint waitUntil;
+    bool waitedLong = false;             ///< for room, before an attempt
     TimePoint roomSince;                 ///< start of the wait for room; none while it does not wait for room
     std::vector<std::uint64_t> attempts; ///< outstanding
   };
@@ -90,7 +91,6 @@
     RequestReason failure = RequestReason::kNoReplica; ///< of the last failed part
     bool mayHaveRun = false;
     bool hedgeTimeSeen = false;
-    bool queued = false; ///< a part waited long for room
     TimePoint start;
     TimePoint planned;
     TimePoint decideBy; ///< a little before the deadline, so that the answer is in time
--- a/src/query/tests/lookup_tests.cpp
+++ b/src/query/tests/lookup_tests.cpp
@@ -346,6 +346,21 @@
   }
 }
 
+// Guards against a node that refuses its callers because one shard of many has lost its replicas.
+TEST_CASE("a lost shard does not lower the node's admission of lookups")
+{
+  QueryOptions options;
+  options.maxInFlight = 200;
+  FakeNode node(MakeService(8, 1), options);
+  REQUIRE(node.Lookup().coverage.Complete());
+  node.leafs.leafs["1.0.0"].silent = true;
+  for (int i = 0; i < 400; ++i) {
+    node.Start("orders");
+    node.timers.RunFor(5ms);
+  }
+  CHECK(node.node->Stats().sheds == 0);
+}
+
 // Guards against an endless search for a waiter when the room at a leaf is gone again.
 TEST_CASE("many parts wait at leafs whose limit has dropped, and the engine goes on")
 {
