Extend the capacity page's lines to the target size

Cause: figures of 1,000 simulated nodes stood in the column of the target. Now they are extended linearly from 200 to 1,000 nodes.

--- a/capacity/measurements.py
+++ b/capacity/measurements.py
@@ -41,6 +41,23 @@
     return next(row for row in record[rows] if all(row.get(key) == value for key, value in wanted.items()))
 
 
+def fitted(name: str, rows: str, wanted: Callable[[dict], bool], read: Callable[[dict], Any], size: int) -> Figure:
+    """Extends a least-squares line over the fleet sizes of a record to a size."""
+    record = load(name)
+    if record is None:
+        return Figure(None, f"not recorded ({name}.json)")
+    points = [(row["nodes"], float(read(row))) for row in record[rows] if wanted(row)]
+    if len(points) < 2:
+        return Figure(None, f"fewer than two sizes in {name}.json")
+    mean_x = sum(x for x, _ in points) / len(points)
+    mean_y = sum(y for _, y in points) / len(points)
+    slope = sum((x - mean_x) * (y - mean_y) for x, y in points) / sum((x - mean_x) ** 2 for x, _ in points)
+    sizes = " to ".join(f"{x:,}" for x in (min(points)[0], max(points)[0]))
+    line = f"{mean_y - slope * mean_x:.4g} + {slope * 1000:.4g} for each 1,000 nodes"
+    return Figure(mean_y + slope * (size - mean_x),
+                  f"extrapolated linearly from {sizes} nodes ({line}): {name}.json at {record.get('commit', '')}")
+
+
 def assumed(value: float, how: str) -> Figure:
     return Figure(value, f"assumed; {how}")
 
--- a/capacity/model.py
+++ b/capacity/model.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 from typing import List, Optional
 
-from capacity.measurements import Figure, assumed, derived, load, measured, product, row_of
+from capacity.measurements import Figure, assumed, derived, fitted, load, measured, product, row_of
 
 NODES, LEAFS, QUERIES, FANOUT = 4700, 73000, 3.1e6, 75
 DOMAINS, CHANGES_A_DAY, RESTARTS_A_DAY = 13, 21000, 29000
@@ -38,8 +38,25 @@
     return max(record["runs"], key=lambda run: run["nodes"])
 
 
-def overlay(read, how: str = "measured at the largest simulated fleet") -> Figure:
-    return measured("overlay-scale", lambda record: read(largest_run(record)), how)
+SMALLEST_FITTED = 200  # below it the number of links still grows with the fleet
+
+
+def overlay(read) -> Figure:
+    """A figure of the simulated fleets, extended to the target size."""
+    return fitted("overlay-scale", "runs", lambda run: run["nodes"] >= SMALLEST_FITTED, read, NODES)
+
+
+def largest_overlay(read) -> Figure:
+    return measured("overlay-scale", lambda record: read(largest_run(record)),
+                    f"measured at {overlay_nodes()} simulated nodes")
+
+
+def process_cost(field: str) -> Figure:
+    """A figure of real processes at the ticket rate nearest to the target's, at the largest fleet that was run."""
+    def read(record: dict) -> float:
+        rows = [row for row in record["rows"] if 0.2 < row.get("rate", 0) < 0.4]
+        return max(rows, key=lambda row: row["nodes"])[field]
+    return measured("fleet-control-cost", read, "measured with 200 processes on one machine")
 
 
 def placement(field: str) -> Figure:
@@ -121,10 +138,17 @@
         Line("processor time of the engines", "ms/s",
              product("share of a core x 10", overlay(lambda run: run["cpu_percent_of_a_core_per_node"]), factor=10),
              CPU_BUDGET_MS, "`src/overlay/internal/overlaynode.cpp`"),
-        Line("publish to in force, p99", "s", overlay(lambda run: run["publish_to_in_force_seconds"]["p99"]), 4.0,
+        Line("publish to in force, p99, 1,500 bytes", "s",
+             largest_overlay(lambda run: run["publish_to_in_force_seconds"]["p99"]), 4.0,
              "`src/overlay/internal/overlaynode.cpp`"),
-        Line("publish to in force, maximum", "s", overlay(lambda run: run["publish_to_in_force_seconds"]["max"]), 4.0,
+        Line("publish to in force, maximum, 1,500 bytes", "s",
+             largest_overlay(lambda run: run["publish_to_in_force_seconds"]["max"]), 4.0,
              "`src/overlay/internal/overlaynode.cpp`"),
+        Line("processor time of a whole idle process", "ms/s",
+             product("share of a core x 10", process_cost("cpu_percent"), factor=10), CPU_BUDGET_MS,
+             "`src/app/internal/controlplane.cpp`"),
+        Line("peer bytes of a whole process, in and out", "bytes/s", process_cost("bytes_per_s"), BYTES_BUDGET,
+             "`src/peer/internal/peertransport.cpp`"),
     ])
 
 
--- a/capacity/page.py
+++ b/capacity/page.py
@@ -45,9 +45,10 @@
 21,000 changes a day in force everywhere within 4 s, 29,000 restarts a day. Budget for control on a node: 1.7 % of a core
 (17 ms a second), 64 MB, 3 KB a second. Today: Riga and Ashanti, eight hosts each, 111 and 106 leafs.
 
-The largest fleet simulated in one process had {overlay_nodes} nodes; figures of the relay and reader roles are of that
-size. A node's links, digests and watches do not depend on the size of the fleet; records of members grow with the number
-of restarts, so with the size.
+The largest fleet simulated in one process had {overlay_nodes} nodes; relay and reader figures are extended from there.
+A node's links, digests and watches do not depend on the size of the fleet; announcements of members grow with the number
+of restarts, so with the size, which is why the lines are linear. The largest fleet of real processes had 200 nodes on one
+machine of ten cores.
 
 ## Roles
 """
