--- a/src/overlay/internal/overlaynode.h
+++ b/src/overlay/internal/overlaynode.h
@@ -62,7 +62,10 @@
   template<class T>
   void Register(void (OverlayNode::*aHandler)(LinkId, Link&, T&));
   template<class T>
-  void Send(LinkId aLink, const T& aMessage);
+  void Send(LinkId aLink, const T& aMessage)
+  {
+    this->SendPayload(aLink, T::kType, Encode(aMessage));
+  }
   void SendPayload(LinkId aLink, const char* aType, const std::string& aPayload);
   void CheckPause();
 
@@ -100,6 +103,7 @@
   void FloodRecords(const std::vector<MemberRecord>& aRecords, LinkId aFrom);
   void SendPendingRecords();
   void SendQueuedReports();
+  static void Shuffle(std::vector<LinkId>& aLinks, IRandom& aRandom);
   std::vector<LinkId> RandomLinks(std::size_t aCount, LinkId aExcept);
   void FloodSuspicion(const Suspicion& aSuspicion, LinkId aFrom);
   void Merge(const std::vector<MemberRecord>& aRecords, LinkId aFrom, bool aNews);
