--- a/src/load/internal/loadrunner.cpp
+++ b/src/load/internal/loadrunner.cpp
@@ -36,9 +36,9 @@
   TimePoint intended;
   std::string requestId; ///< kept over all attempts of a non-idempotent request
   std::uint32_t number = 0;
-  std::vector<std::string> told; ///< outcomes of all replies, in order
-  std::string detail;            ///< of the last reply
-  Endpoint target;               ///< of the last attempt
+  std::vector<std::string> replyOutcomes; ///< outcomes of all replies, in order
+  std::string detail;                     ///< of the last reply
+  Endpoint target;                        ///< of the last attempt
 };
 
 using AttemptPtr = std::shared_ptr<Attempt>;
@@ -275,7 +275,7 @@
     const Json reply = ParseReply(aResponse.body);
     const std::string outcome = TextMember(reply, "outcome");
     const Json coverage = reply.value("coverage", Json());
-    aAttempt->told.push_back(outcome);
+    aAttempt->replyOutcomes.push_back(outcome);
     aAttempt->detail = TextMember(reply, "detail");
     const bool again = outcome == "unknown" && this->settings.resendUnknown && !aAttempt->requestId.empty();
     if (again && aAttempt->number + 1 < this->settings.maxAttempts) {
@@ -321,7 +321,7 @@
                      { "at_ms", milliseconds(aAttempt.plan.offset) },
                      { "latency_ms", milliseconds(Now() - aAttempt.intended) },
                      { "attempts", aAttempt.number + 1 },
-                     { "told", aAttempt.told },
+                     { "told", aAttempt.replyOutcomes },
                      { "target", ToString(aAttempt.target) },
                      { "outcome", aOutcome },
                      { "reason", aReason },
--- a/src/overlay/tests/parts_tests.cpp
+++ b/src/overlay/tests/parts_tests.cpp
@@ -170,7 +170,7 @@
   const TimePoint start{ 100s };
   Readiness readiness(start);
   const bool claimsInForce = GENERATE(true, false);
-  readiness.OnAnswer("liar", "d0", Answer(claimsInForce ? 1000000 : 17, 1000000), start);
+  readiness.OnAnswer("wrong", "d0", Answer(claimsInForce ? 1000000 : 17, 1000000), start);
   readiness.OnAnswer("b", "d1", Answer(17, 17), start);
   readiness.OnAnswer("c", "d2", Answer(16, 16), start);
   readiness.Evaluate(start + 2s, 15, 15, OtherHosts::kUnknown);
