Say what to do when a node is asked that holds no connections

Cause: explain at a node that is no holder showed empty columns, and a port in use was reported as 'Underlying Transport Error'.

--- a/src/ctl/internal/nodecommands.cpp
+++ b/src/ctl/internal/nodecommands.cpp
@@ -1,6 +1,7 @@
 #include "ctl/internal/adminclient.h"
 #include "ctl/internal/commandoptions.h"
 #include "ctl/internal/commands.h"
+#include <algorithm>
 #include <iomanip>
 #include <nlohmann/json.hpp>
 #include <ostream>
@@ -192,6 +193,14 @@
                "versions",
                "reason" },
              aOutput.out);
+  const Json& replicas = aReply.at("replicas");
+  const bool holds = std::any_of(replicas.begin(), replicas.end(), [](const Json& aReplica) {
+    return aReplica.value("own_connections", 0) > 0;
+  });
+  if (!holds) {
+    aOutput.out << "\nthe asked node holds no connections to the service; ask a holder for what it saw of "
+                   "the replicas\n";
+  }
   return ExitCode::kSuccess;
 }
 
--- a/src/peer/internal/peertransport.cpp
+++ b/src/peer/internal/peertransport.cpp
@@ -127,7 +127,10 @@
     this->server.set_reuse_addr(true);
     this->server.listen(tcp::endpoint(address, this->settings.listen.port), error);
     if (error) {
-      return Fail(ErrorCode::kUnavailable, "peer.listen", name, error.message());
+      return Fail(ErrorCode::kUnavailable,
+                  "peer.listen",
+                  name,
+                  "the port cannot be opened; it may be in use: " + error.message());
     }
     this->SetHandlers(this->client);
     this->SetHandlers(this->server);
@@ -136,7 +139,10 @@
     this->server.start_accept(error);
     if (error) {
       this->Shutdown();
-      return Fail(ErrorCode::kUnavailable, "peer.listen", name, error.message());
+      return Fail(ErrorCode::kUnavailable,
+                  "peer.listen",
+                  name,
+                  "the port cannot be opened; it may be in use: " + error.message());
     }
     this->ScheduleSweep();
     return {};
