--- a/src/peer/tests/peer_tests.cpp
+++ b/src/peer/tests/peer_tests.cpp
@@ -145,6 +145,30 @@
   CHECK(first.downs == 0);
 }
 
+// Guards against the overlay closing links that were opened for calls, which lost the calls.
+TEST_CASE("events of a link reach only the users of its purpose, on both sides")
+{
+  Node first;
+  Node second;
+  std::atomic<int> callUps{ 0 };
+  std::atomic<int> callDowns{ 0 };
+  const auto onUp = [&callUps](LinkId, bool) { ++callUps; };
+  const auto onDown = [&callDowns](LinkId, const Error&) { ++callDowns; };
+  for (Node* node : { &first, &second }) {
+    node->served.Call([&] { node->transport->OnLink(LinkPurpose::kCalls, onUp, onDown); });
+  }
+  const LinkId calls =
+    first.served.Call([&] { return first.transport->Open(second.endpoint, LinkPurpose::kCalls); });
+  REQUIRE(Eventually([&] { return callUps == 2; }));
+  first.Open(second.endpoint);
+  REQUIRE(Eventually([&] { return first.ups == 1 && second.ups == 1; }));
+  first.served.Call([&] { first.transport->Close(calls); });
+  CHECK(Eventually([&] { return callDowns == 1; }));
+  CHECK(callUps == 2);
+  CHECK(first.ups + second.ups == 2);
+  CHECK(first.downs + second.downs == 0);
+}
+
 // Guards against a paused or cut-off peer that is taken for alive, and a live, idle one that is dropped.
 TEST_CASE("a silent peer is detected and an idle one is kept")
 {
