Build answers in one place and serve forwarded methods by one function

Cause: found on a last reading of the change: the same function built an answer without a result in entry and in query, three handlers of forwarded requests differed only in their decoder and call, and the count of callers' connections was sampled ten times a second without a reader. After: MakeAnswer stands in querytypes.h, ServeAnswered serves the three methods, the sample is gone. Conclusion: left as they are: httpserver.cpp, messages.cpp, peertransport.cpp and connection.cpp are large, and the runners of lookups and executions share their construction.

--- a/src/app/internal/requestthread.cpp
+++ b/src/app/internal/requestthread.cpp
@@ -95,7 +95,6 @@
 RequestThread::Sample()
 {
   this->inFlight.store(this->engine->InFlight(), std::memory_order_relaxed);
-  this->connections.store(this->server->Counters().connections, std::memory_order_relaxed);
   this->timers.At(this->node.clock.Now() + kSampleInterval, [this] { this->Sample(); });
 }
 
--- a/src/app/internal/requestthread.h
+++ b/src/app/internal/requestthread.h
@@ -46,9 +46,6 @@
   /// \return requests in flight, as of a tenth of a second ago at most
   std::size_t InFlight() const { return this->inFlight.load(std::memory_order_relaxed); }
 
-  /// \return counters of the callers' port, as of a tenth of a second ago at most
-  std::size_t Connections() const { return this->connections.load(std::memory_order_relaxed); }
-
 private:
   void Sample();
 
@@ -62,7 +59,6 @@
   std::unique_ptr<ICallerApi> api;
   std::unique_ptr<IHttpServer> server;
   std::atomic<std::size_t> inFlight{ 0 };
-  std::atomic<std::size_t> connections{ 0 };
   std::thread thread;
 };
 
--- a/src/entry/internal/answercodec.cpp
+++ b/src/entry/internal/answercodec.cpp
@@ -51,16 +51,6 @@
 
 } // namespace
 
-RequestAnswer
-MakeAnswer(RequestOutcome aOutcome, RequestReason aReason, std::string aDetail)
-{
-  RequestAnswer answer;
-  answer.outcome = aOutcome;
-  answer.reason = aReason;
-  answer.detail = std::move(aDetail);
-  return answer;
-}
-
 Json
 AnswerToJson(const RequestAnswer& aAnswer)
 {
--- a/src/entry/internal/answercodec.h
+++ b/src/entry/internal/answercodec.h
@@ -13,10 +13,6 @@
 unsigned
 AnswerStatus(const RequestAnswer& aAnswer);
 
-/// \return an answer without a result
-RequestAnswer
-MakeAnswer(RequestOutcome aOutcome, RequestReason aReason, std::string aDetail);
-
 std::string
 EncodeLookup(const LookupRequest& aRequest, TimePoint aNow);
 
--- a/src/entry/internal/forwardedrequests.cpp
+++ b/src/entry/internal/forwardedrequests.cpp
@@ -23,6 +23,32 @@
   aRespond(EncodeAnswer(MakeAnswer(RequestOutcome::kNotRun, RequestReason::kBadRequest, aError.detail)));
 }
 
+/// Serves a method whose reply is an answer.
+/// \param aDecode reads the request, or fails for malformed bytes
+/// \param aRun starts the request at a service and gives its answer to a handler
+template<class Decode, class Run>
+void
+ServeAnswered(IPeerCalls& aCalls,
+              const char* aMethod,
+              const PostToControl& aPostToControl,
+              const Pick& aPick,
+              Decode aDecode,
+              Run aRun)
+{
+  aCalls.Serve(aMethod, [=](const std::string& aPayload, IPeerCalls::Respond aRespond) {
+    Recover(
+      [&]() -> Result<void> {
+        BOOST_LEAF_AUTO(request, aDecode(aPayload));
+        const auto [service, post] = aPick();
+        post([service = service, request, aRun, answer = RespondWith(aPostToControl, aRespond)] {
+          aRun(*service, request, answer);
+        });
+        return {};
+      },
+      [&](const Error& aError) { RespondBadRequest(aRespond, aError); });
+  });
+}
+
 } // namespace
 
 void
@@ -32,48 +58,41 @@
                PostToControl aPostToControl,
                Pick aPick)
 {
+  using Answer = IRequestService::AnswerHandler;
   const auto origin = IRequestService::Origin::kPeer;
-  aCalls.Serve(
-    kLookupMethod, [=, &aClock, &aStats](const std::string& aPayload, IPeerCalls::Respond aRespond) {
-      Recover(
-        [&]() -> Result<void> {
-          BOOST_LEAF_AUTO(request, DecodeLookup(aPayload, aClock.Now()));
-          ++aStats.servedForOthers;
-          const auto [service, post] = aPick();
-          post([service = service, request, origin, answer = RespondWith(aPostToControl, aRespond)] {
-            service->Lookup(request, origin, answer);
-          });
-          return {};
-        },
-        [&](const Error& aError) { RespondBadRequest(aRespond, aError); });
+  ServeAnswered(
+    aCalls,
+    kLookupMethod,
+    aPostToControl,
+    aPick,
+    [&aClock](const std::string& aPayload) { return DecodeLookup(aPayload, aClock.Now()); },
+    [origin, &aStats](IRequestService& aService, const LookupRequest& aRequest, const Answer& aAnswer) {
+      ++aStats.servedForOthers;
+      aService.Lookup(aRequest, origin, aAnswer);
     });
-  aCalls.Serve(
-    kExecuteMethod, [=, &aClock, &aStats](const std::string& aPayload, IPeerCalls::Respond aRespond) {
-      Recover(
-        [&]() -> Result<void> {
-          BOOST_LEAF_AUTO(request, DecodeExecute(aPayload, aClock.Now()));
-          ++aStats.servedForOthers;
-          const auto [service, post] = aPick();
-          post([service = service, request, origin, answer = RespondWith(aPostToControl, aRespond)] {
-            service->Execute(request, origin, answer);
-          });
-          return {};
-        },
-        [&](const Error& aError) { RespondBadRequest(aRespond, aError); });
+  ServeAnswered(
+    aCalls,
+    kExecuteMethod,
+    aPostToControl,
+    aPick,
+    [&aClock](const std::string& aPayload) { return DecodeExecute(aPayload, aClock.Now()); },
+    [origin, &aStats](IRequestService& aService, const ExecuteRequest& aRequest, const Answer& aAnswer) {
+      ++aStats.servedForOthers;
+      aService.Execute(aRequest, origin, aAnswer);
+    });
+  ServeAnswered(
+    aCalls,
+    kOutcomeMethod,
+    aPostToControl,
+    aPick,
+    [&aClock](const std::string& aPayload) -> Result<std::pair<std::string, TimePoint>> {
+      BOOST_LEAF_AUTO(question, DecodeIdQuestion(aPayload));
+      return std::make_pair(question.id, aClock.Now() + question.remaining);
+    },
+    [origin](
+      IRequestService& aService, const std::pair<std::string, TimePoint>& aQuestion, const Answer& aAnswer) {
+      aService.FindOutcome(aQuestion.first, aQuestion.second, origin, aAnswer);
     });
-  aCalls.Serve(kOutcomeMethod, [=, &aClock](const std::string& aPayload, IPeerCalls::Respond aRespond) {
-    Recover(
-      [&]() -> Result<void> {
-        BOOST_LEAF_AUTO(question, DecodeIdQuestion(aPayload));
-        const TimePoint deadline = aClock.Now() + question.remaining;
-        const auto [service, post] = aPick();
-        post([service = service, question, deadline, origin, answer = RespondWith(aPostToControl, aRespond)] {
-          service->FindOutcome(question.id, deadline, origin, answer);
-        });
-        return {};
-      },
-      [&](const Error& aError) { RespondBadRequest(aRespond, aError); });
-  });
   aCalls.Serve(kIssueIdsMethod, [=, &aClock](const std::string& aPayload, IPeerCalls::Respond aRespond) {
     const IdQuestion question =
       Recover([&] { return DecodeIdQuestion(aPayload); }, [](const Error&) { return IdQuestion{}; });
--- a/src/query/internal/executerunner.cpp
+++ b/src/query/internal/executerunner.cpp
@@ -9,16 +9,6 @@
 constexpr Duration kOutcomeWait = std::chrono::seconds(5);
 constexpr Duration kRoomPoll = std::chrono::milliseconds(5);
 
-RequestAnswer
-Failure(RequestOutcome aOutcome, RequestReason aReason, std::string aDetail)
-{
-  RequestAnswer answer;
-  answer.outcome = aOutcome;
-  answer.reason = aReason;
-  answer.detail = std::move(aDetail);
-  return answer;
-}
-
 /// \return the result as JSON text; none when the body is not of the form in section 6
 std::optional<std::string>
 ParseResult(const std::string& aBody)
@@ -91,7 +81,7 @@
   execution->told = true;
   if (execution->attempt == 0) {
     this->Finish(*execution,
-                 Failure(RequestOutcome::kNotRun, RequestReason::kConnectionLost, "the caller has gone"));
+                 MakeAnswer(RequestOutcome::kNotRun, RequestReason::kConnectionLost, "the caller has gone"));
   }
 }
 
@@ -102,13 +92,13 @@
   if (now >= aExecution.request.deadline) {
     this->Finish(
       aExecution,
-      Failure(RequestOutcome::kNotRun, RequestReason::kDeadline, "not written before the deadline"));
+      MakeAnswer(RequestOutcome::kNotRun, RequestReason::kDeadline, "not written before the deadline"));
     return;
   }
   if (aExecution.shard == nullptr) {
     this->Finish(
       aExecution,
-      Failure(RequestOutcome::kNotRun, RequestReason::kNoReplica, "no layout has a leaf for each shard"));
+      MakeAnswer(RequestOutcome::kNotRun, RequestReason::kNoReplica, "no layout has a leaf for each shard"));
     return;
   }
   const ReplicaNeed need{ std::nullopt, aExecution.tried, false };
@@ -118,18 +108,19 @@
     return;
   }
   if (choice.index < 0) {
-    this->Finish(aExecution, Failure(RequestOutcome::kNotRun, aExecution.failure, "no replica left to try"));
+    this->Finish(aExecution,
+                 MakeAnswer(RequestOutcome::kNotRun, aExecution.failure, "no replica left to try"));
     return;
   }
   if (aExecution.paid && !this->node.TrySpendExtra(now)) {
     this->Finish(aExecution,
-                 Failure(RequestOutcome::kNotRun, RequestReason::kOverload, "no budget for a retry"));
+                 MakeAnswer(RequestOutcome::kNotRun, RequestReason::kOverload, "no budget for a retry"));
     return;
   }
   if (!this->requests.MayWrite(aExecution.request.requestId)) {
     this->Finish(
       aExecution,
-      Failure(RequestOutcome::kNotRun, RequestReason::kExpiredId, "the id expired before it was written"));
+      MakeAnswer(RequestOutcome::kNotRun, RequestReason::kExpiredId, "the id expired before it was written"));
     return;
   }
   this->SendAttempt(aExecution, static_cast<std::size_t>(choice.index));
@@ -171,9 +162,10 @@
     return;
   }
   if (aReply.status == AttemptStatus::kUnknown) {
-    this->Finish(
-      *execution,
-      Failure(RequestOutcome::kUnknown, RequestReason::kConnectionLost, "no complete reply after the write"));
+    this->Finish(*execution,
+                 MakeAnswer(RequestOutcome::kUnknown,
+                            RequestReason::kConnectionLost,
+                            "no complete reply after the write"));
     return;
   }
   const bool shed = aReply.reason == NotRunReason::kShed;
@@ -182,7 +174,7 @@
                                                                            : RequestReason::kNoReplica;
   if (execution->told) {
     this->Finish(*execution,
-                 Failure(RequestOutcome::kNotRun, execution->failure, "not run, and the caller has gone"));
+                 MakeAnswer(RequestOutcome::kNotRun, execution->failure, "not run, and the caller has gone"));
     return;
   }
   this->TrySend(*execution);
@@ -203,7 +195,7 @@
   // The attempt goes on for a while, so that the table learns its outcome.
   this->sender.CancelAt(execution->attempt, this->clock.Now() + kOutcomeWait);
   this->Tell(*execution,
-             Failure(RequestOutcome::kUnknown, RequestReason::kDeadline, "no reply before the deadline"));
+             MakeAnswer(RequestOutcome::kUnknown, RequestReason::kDeadline, "no reply before the deadline"));
 }
 
 void
@@ -218,7 +210,8 @@
 {
   const std::optional<std::string> result = ParseResult(aReply.body);
   if (!result) {
-    return Failure(RequestOutcome::kUnknown, RequestReason::kConnectionLost, "the leaf's reply is malformed");
+    return MakeAnswer(
+      RequestOutcome::kUnknown, RequestReason::kConnectionLost, "the leaf's reply is malformed");
   }
   RequestAnswer answer;
   answer.outcome = RequestOutcome::kAnswered;
@@ -237,7 +230,7 @@
   // A result that came after the deadline is kept in the table and not given as in time.
   if (late && aAnswer.outcome == RequestOutcome::kAnswered) {
     aAnswer =
-      Failure(RequestOutcome::kUnknown, RequestReason::kDeadline, "the reply came after the deadline");
+      MakeAnswer(RequestOutcome::kUnknown, RequestReason::kDeadline, "the reply came after the deadline");
   }
   this->timers.Cancel(aExecution.timer);
   const std::unique_ptr<Execution> owned = std::move(this->executions[handle]);
--- a/src/query/internal/querytypes.cpp
+++ b/src/query/internal/querytypes.cpp
@@ -72,4 +72,14 @@
   this->latencySumNs += static_cast<std::uint64_t>(aElapsed.count());
 }
 
+RequestAnswer
+MakeAnswer(RequestOutcome aOutcome, RequestReason aReason, std::string aDetail)
+{
+  RequestAnswer answer;
+  answer.outcome = aOutcome;
+  answer.reason = aReason;
+  answer.detail = std::move(aDetail);
+  return answer;
+}
+
 } // namespace yp
--- a/src/query/querytypes.h
+++ b/src/query/querytypes.h
@@ -107,6 +107,10 @@
   std::string result;    ///< non-idempotent requests: JSON value as text
 };
 
+/// \return an answer without a result
+RequestAnswer
+MakeAnswer(RequestOutcome aOutcome, RequestReason aReason, std::string aDetail);
+
 } // namespace yp
 
 #endif
