--- a/buildscripts/modules.cmake
+++ b/buildscripts/modules.cmake
@@ -13,11 +13,16 @@
   set_target_properties(${name} PROPERTIES RUNTIME_OUTPUT_DIRECTORY ${CMAKE_BINARY_DIR}/bin)
 endfunction()
 
-add_library(yp_test_main STATIC ${CMAKE_CURRENT_LIST_DIR}/testmain.cpp)
-target_link_libraries(yp_test_main PUBLIC yp_build_options Catch2::Catch2)
+if(NOT YP_NODE_ONLY)
+  add_library(yp_test_main STATIC ${CMAKE_CURRENT_LIST_DIR}/testmain.cpp)
+  target_link_libraries(yp_test_main PUBLIC yp_build_options Catch2::Catch2)
+endif()
 
 # yp_add_test(NAME SOURCES file... LINK target...) builds a Catch2 program and registers it with ctest.
 function(yp_add_test name)
+  if(YP_NODE_ONLY)
+    return()
+  endif()
   cmake_parse_arguments(ARG "" "" "SOURCES;LINK" ${ARGN})
   add_executable(${name} ${ARG_SOURCES})
   target_link_libraries(${name} PRIVATE yp_test_main ${RAPIDCHECK_LIBRARY} ${ARG_LINK})
--- a/src/app/internal/controlplane.h
+++ b/src/app/internal/controlplane.h
@@ -5,6 +5,7 @@
 #include "app/internal/lifecycle.h"
 #include "app/internal/loadexchange.h"
 #include "app/internal/nodecontext.h"
+#include "configservice/configservice.h"
 #include "fleetstatus/fleetstatus.h"
 #include "framework/network/network.h"
 #include "leaf/leaf.h"
@@ -12,7 +13,6 @@
 #include "overlay/overlay.h"
 #include "peer/peer.h"
 #include "placement/placement.h"
-#include "platform/platform.h"
 #include "rpc/rpc.h"
 #include "tickets/tickets.h"
 #include <boost/asio/executor_work_guard.hpp>
--- a/src/platform/platform.h
+++ b/src/configservice/configservice.h
@@ -1,12 +1,12 @@
-#ifndef YP_PLATFORM_PLATFORM_H
-#define YP_PLATFORM_PLATFORM_H
+#ifndef YP_CONFIGSERVICE_PLATFORM_H
+#define YP_CONFIGSERVICE_PLATFORM_H
 
 /// \file
-/// Public header of the library yp_platform: clients of the configuration service and of the host list.
+/// Public header of the library yp_configservice: clients of the configuration service and of the host list.
 
+#include "configservice/iconfigservice.h"
+#include "configservice/ihostlist.h"
 #include "framework/network/ihttpclient.h"
-#include "platform/iconfigservice.h"
-#include "platform/ihostlist.h"
 #include <chrono>
 #include <cstdint>
 #include <memory>
--- a/src/platform/iconfigservice.h
+++ b/src/configservice/iconfigservice.h
@@ -1,5 +1,5 @@
-#ifndef YP_PLATFORM_ICONFIGSERVICE_H
-#define YP_PLATFORM_ICONFIGSERVICE_H
+#ifndef YP_CONFIGSERVICE_ICONFIGSERVICE_H
+#define YP_CONFIGSERVICE_ICONFIGSERVICE_H
 
 #include "tickets/tickettypes.h"
 #include <functional>
--- a/src/platform/ihostlist.h
+++ b/src/configservice/ihostlist.h
@@ -1,5 +1,5 @@
-#ifndef YP_PLATFORM_IHOSTLIST_H
-#define YP_PLATFORM_IHOSTLIST_H
+#ifndef YP_CONFIGSERVICE_IHOSTLIST_H
+#define YP_CONFIGSERVICE_IHOSTLIST_H
 
 #include "membership/membershiptypes.h"
 #include <functional>
--- a/src/platform/internal/configserviceclient.cpp
+++ b/src/configservice/internal/configserviceclient.cpp
@@ -1,4 +1,4 @@
-#include "platform/platform.h"
+#include "configservice/configservice.h"
 #include "platformreply.h"
 #include <nlohmann/json.hpp>
 
--- a/src/platform/tests/platform_tests.cpp
+++ b/src/configservice/tests/configservice_tests.cpp
@@ -1,5 +1,5 @@
+#include "configservice/configservice.h"
 #include "framework/network/tests/servedcontext.h"
-#include "platform/platform.h"
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
 
--- a/src/framework/global/internal/log.cpp
+++ b/src/framework/global/internal/log.cpp
@@ -7,10 +7,11 @@
 namespace {
 
 spdlog::logger&
-Logger()
+Logger(LogTarget aTarget = LogTarget::kStandardError)
 {
-  static const std::shared_ptr<spdlog::logger> sLogger = [] {
-    auto logger = spdlog::stderr_logger_mt("yuccaspool");
+  static const std::shared_ptr<spdlog::logger> sLogger = [aTarget] {
+    auto logger = aTarget == LogTarget::kStandardOutput ? spdlog::stdout_logger_mt("yuccaspool")
+                                                        : spdlog::stderr_logger_mt("yuccaspool");
     logger->set_pattern("time=%Y-%m-%dT%H:%M:%S.%eZ level=%l %v", spdlog::pattern_time_type::utc);
     logger->flush_on(spdlog::level::info);
     return logger;
@@ -71,10 +72,11 @@
 } // namespace
 
 void
-ConfigureLog(std::string_view aProcess, std::string_view aLevel)
+ConfigureLog(std::string_view aProcess, std::string_view aLevel, LogTarget aTarget)
 {
+  spdlog::logger& logger = Logger(aTarget);
   ProcessField() = aProcess.empty() ? "" : " process=" + std::string(aProcess);
-  Logger().set_level(spdlog::level::from_str(aLevel == "warning" ? "warn" : std::string(aLevel)));
+  logger.set_level(spdlog::level::from_str(aLevel == "warning" ? "warn" : std::string(aLevel)));
 }
 
 void
--- a/src/framework/global/log.h
+++ b/src/framework/global/log.h
@@ -46,10 +46,19 @@
   std::string value;
 };
 
+enum class LogTarget
+{
+  kStandardError,
+  kStandardOutput
+};
+
 /// Sets the lowest level that is written and the name of the process, which every line carries.
 /// \param aLevel debug, info, warning or error
+/// \param aTarget where lines go; decided by the first call, before the first line
 void
-ConfigureLog(std::string_view aProcess, std::string_view aLevel);
+ConfigureLog(std::string_view aProcess,
+             std::string_view aLevel,
+             LogTarget aTarget = LogTarget::kStandardError);
 
 /// Writes one line "event=... key=value ..."; values with spaces or quotes are quoted.
 void
--- a/src/framework/network/internal/httpserver.cpp
+++ b/src/framework/network/internal/httpserver.cpp
@@ -563,6 +563,15 @@
     this->core->ReportIdle();
   }
 
+  void SetLimits(const HttpServerSettings& aSettings) override
+  {
+    HttpServerSettings& own = this->core->settings;
+    own.maxHeaderBytes = aSettings.maxHeaderBytes;
+    own.maxBodyBytes = aSettings.maxBodyBytes;
+    own.headerTimeout = aSettings.headerTimeout;
+    own.idleTimeout = aSettings.idleTimeout;
+  }
+
   HttpServerCounters Counters() const override
   {
     HttpServerCounters counters = this->core->counters;
--- /dev/null
+++ b/src/gateway/internal/callsender.cpp
@@ -0,0 +1,155 @@
+#include "gateway/internal/callsender.h"
+#include <vector>
+
+namespace yp {
+
+namespace {
+
+// Longer than the pause of a leaf, shorter than the time after which work for nobody counts as waste (0.5 s).
+constexpr Duration kReleasedLimit = std::chrono::milliseconds(400);
+constexpr Duration kSweepInterval = std::chrono::milliseconds(100);
+
+} // namespace
+
+CallSender::CallSender(const GatewayParts& aParts)
+  : exchange(aParts.exchange)
+  , timers(aParts.timers)
+  , clock(aParts.clock)
+{
+}
+
+CallSender::~CallSender()
+{
+  this->timers.Cancel(this->sweepTimer);
+}
+
+std::uint64_t
+CallSender::Send(LeafCall aCall, Ref<RouteTimes> aTimes, Handler aHandler)
+{
+  const std::uint64_t id = ++this->lastId;
+  auto owned = std::make_unique<Call>();
+  Call& call = *owned;
+  call.id = id;
+  call.leaf = aCall.leaf;
+  call.times = std::move(aTimes);
+  call.expected = call.times->Typical();
+  call.handler = std::move(aHandler);
+  call.leaf->condition.OnSend(call, this->clock.Now());
+  this->calls.emplace(id, std::move(owned));
+  aCall.id = id;
+  this->exchange.Send(std::move(aCall),
+                      [this, id](LeafResult aResult) { this->OnResult(id, std::move(aResult)); });
+  return id;
+}
+
+void
+CallSender::Release(std::uint64_t aCall)
+{
+  const auto found = this->calls.find(aCall);
+  if (found == this->calls.end()) {
+    return;
+  }
+  found->second->handler = nullptr;
+  found->second->releasedAt = this->clock.Now();
+  ++this->released;
+  this->ArmSweep();
+}
+
+void
+CallSender::Cancel(std::uint64_t aCall)
+{
+  const auto found = this->calls.find(aCall);
+  if (found == this->calls.end()) {
+    return;
+  }
+  this->released -= found->second->handler ? 0 : 1;
+  found->second->leaf->condition.OnCancelled();
+  this->calls.erase(found);
+  this->exchange.Cancel(aCall);
+}
+
+void
+CallSender::Expire(std::uint64_t aCall)
+{
+  const auto found = this->calls.find(aCall);
+  if (found == this->calls.end()) {
+    return;
+  }
+  const std::unique_ptr<Call> call = std::move(found->second);
+  this->calls.erase(found);
+  this->released -= call->handler ? 0 : 1;
+  call->unlink();
+  call->leaf->condition.OnUnreachable(this->clock.Now());
+  this->exchange.Expire(aCall);
+}
+
+void
+CallSender::OnResult(std::uint64_t aCall, LeafResult aResult)
+{
+  const auto found = this->calls.find(aCall);
+  if (found == this->calls.end()) {
+    return;
+  }
+  const std::unique_ptr<Call> call = std::move(found->second);
+  this->calls.erase(found);
+  call->unlink();
+  this->Learn(*call, aResult);
+  if (!call->handler) {
+    --this->released;
+    return;
+  }
+  call->handler(aCall, std::move(aResult));
+}
+
+void
+CallSender::Learn(Call& aCall, const LeafResult& aResult)
+{
+  const TimePoint now = this->clock.Now();
+  LeafCondition& condition = aCall.leaf->condition;
+  switch (aResult.outcome) {
+    case LeafOutcome::kAnswered:
+      aCall.times->Add(aResult.elapsed);
+      condition.OnAnswer(aResult.elapsed, aCall.expected, now);
+      return;
+    case LeafOutcome::kFailed:
+    case LeafOutcome::kNotRun:
+      condition.OnRefusal(now);
+      return;
+    case LeafOutcome::kMisdirected:
+      condition.OnMisdirected(now);
+      return;
+    case LeafOutcome::kNotSent:
+    case LeafOutcome::kLost:
+      condition.OnUnreachable(now);
+      return;
+  }
+}
+
+void
+CallSender::ArmSweep()
+{
+  if (this->sweepTimer == 0) {
+    this->sweepTimer = this->timers.At(this->clock.Now() + kSweepInterval, [this] { this->Sweep(); });
+  }
+}
+
+void
+CallSender::Sweep()
+{
+  this->sweepTimer = 0;
+  const TimePoint now = this->clock.Now();
+  std::vector<std::uint64_t> expired;
+  for (const auto& [id, call] : this->calls) {
+    if (!call->handler && now - call->releasedAt >= kReleasedLimit) {
+      expired.push_back(id);
+    }
+  }
+  for (const std::uint64_t id : expired) {
+    this->Expire(id);
+  }
+  if (this->released > 0) {
+    this->ArmSweep();
+  }
+}
+
+} // namespace yp
--- /dev/null
+++ b/src/gateway/internal/callsender.h
@@ -0,0 +1,63 @@
+#ifndef YP_GATEWAY_INTERNAL_CALLSENDER_H
+#define YP_GATEWAY_INTERNAL_CALLSENDER_H
+
+#include "gateway/gateway.h"
+#include "gateway/internal/routetimes.h"
+#include <unordered_map>
+
+namespace yp {
+
+/// Sends calls and keeps the condition of the leafs. A call that is not needed any more may end by itself for
+/// a while, which keeps its connection and shows whether its leaf answers.
+class CallSender
+{
+public:
+  using Handler = std::function<void(std::uint64_t, LeafResult)>;
+
+  explicit CallSender(const GatewayParts& aParts);
+  ~CallSender();
+  CallSender(const CallSender&) = delete;
+  CallSender& operator=(const CallSender&) = delete;
+
+  /// \param aCall call without an id
+  /// \param aTimes of the route; learns from the answer
+  /// \param aHandler called once with the call's id, unless the call is released or cancelled
+  /// \return the call's id
+  std::uint64_t Send(LeafCall aCall, Ref<RouteTimes> aTimes, Handler aHandler);
+
+  /// Gives up interest in a call; it is cancelled when it does not end soon.
+  void Release(std::uint64_t aCall);
+
+  /// Ends a call at once because its caller has gone.
+  void Cancel(std::uint64_t aCall);
+
+  /// Ends a call at once because its leaf did not answer in time.
+  void Expire(std::uint64_t aCall);
+
+private:
+  struct Call : OutstandingCall
+  {
+    std::uint64_t id = 0;
+    Ref<LeafHandle> leaf;
+    Ref<RouteTimes> times;
+    Handler handler;
+    TimePoint releasedAt;
+  };
+
+  void OnResult(std::uint64_t aCall, LeafResult aResult);
+  void Learn(Call& aCall, const LeafResult& aResult);
+  void Sweep();
+  void ArmSweep();
+
+  ILeafExchange& exchange;
+  ITimers& timers;
+  const IClock& clock;
+  std::uint64_t lastId = 0;
+  std::unordered_map<std::uint64_t, std::unique_ptr<Call>> calls;
+  std::size_t released = 0;
+  TimerId sweepTimer = 0;
+};
+
+} // namespace yp
+
+#endif
--- /dev/null
+++ b/src/gateway/internal/extraloadshare.cpp
@@ -0,0 +1,57 @@
+#include "gateway/internal/extraloadshare.h"
+#include <algorithm>
+
+namespace yp {
+
+namespace {
+
+// Part of the bound that is used; the rest covers nodes that see another number of members.
+constexpr double kRatioUsed = 0.9;
+constexpr double kSlackUsed = 0.75;
+// A node that restarts begins with a part of its bucket: its predecessor may have spent the rest.
+constexpr double kInitialFill = 0.25;
+constexpr double kSmallestCapacity = 1;
+
+} // namespace
+
+ExtraLoadShare::ExtraLoadShare(double aRatio, double aSlack)
+  : ratio(aRatio * kRatioUsed)
+  , slack(aSlack * kSlackUsed)
+{
+  this->SetShare(1);
+}
+
+void
+ExtraLoadShare::SetShare(double aShare)
+{
+  this->capacity = std::max(kSmallestCapacity, this->slack * aShare);
+  for (auto& [service, tokens] : this->buckets) {
+    tokens = std::min(tokens, this->capacity);
+  }
+}
+
+void
+ExtraLoadShare::OnRequest(const std::string& aService)
+{
+  double& tokens = this->Bucket(aService);
+  tokens = std::min(this->capacity, tokens + this->ratio);
+}
+
+bool
+ExtraLoadShare::TrySpend(const std::string& aService)
+{
+  double& tokens = this->Bucket(aService);
+  if (tokens < 1) {
+    return false;
+  }
+  tokens -= 1;
+  return true;
+}
+
+double&
+ExtraLoadShare::Bucket(const std::string& aService)
+{
+  return this->buckets.emplace(aService, this->capacity * kInitialFill).first->second;
+}
+
+} // namespace yp
--- /dev/null
+++ b/src/gateway/internal/gateway.cpp
@@ -0,0 +1,268 @@
+#include "gateway/gateway.h"
+#include "gateway/internal/plainrunner.h"
+#include "gateway/internal/requestlog.h"
+#include "gateway/internal/scatterrunner.h"
+#include <algorithm>
+
+namespace yp {
+
+namespace {
+
+// One way between nodes and callers and back, and the connection that a caller opens before its request.
+constexpr Duration kCallerPath = std::chrono::milliseconds(9);
+constexpr int kObjectiveMarginPart =
+  20; // the objective's part that is kept for a late wake-up of the process
+constexpr Duration kNotReadyRetry = std::chrono::milliseconds(300);
+constexpr double kFirstLatencyBoundNs = 1e5;
+
+std::string_view
+PathOf(std::string_view aTarget)
+{
+  return aTarget.substr(0, aTarget.find('?'));
+}
+
+/// Divides the requests of a route among services in exact proportion (smooth weighted round robin).
+class SplitTurns
+{
+public:
+  const std::string& Next(const RouteSpec& aRoute)
+  {
+    std::map<std::string, double>& turns = this->byRoute[aRoute.name];
+    double total = 0;
+    const WeightedService* best = nullptr;
+    for (const WeightedService& part : aRoute.split) {
+      total += part.weight;
+      double& turn = turns[part.service];
+      turn += part.weight;
+      if (part.weight > 0 && (best == nullptr || turn > turns[best->service])) {
+        best = &part;
+      }
+    }
+    if (best == nullptr) {
+      return aRoute.split.front().service;
+    }
+    turns[best->service] -= total;
+    return best->service;
+  }
+
+  void Clear() { this->byRoute.clear(); }
+
+private:
+  std::map<std::string, std::map<std::string, double>> byRoute;
+};
+
+class Gateway final : public IGateway
+{
+public:
+  Gateway(const GatewayParts& aParts, const GatewayOptions& aOptions)
+    : options(aOptions)
+    , exchange(aParts.exchange)
+    , clock(aParts.clock)
+    , random(aParts.random)
+    , sender(aParts)
+    , budget(aOptions.extraLoadRatio, aOptions.extraLoadSlack)
+    , context{ this->sender,  aParts.leafs, aParts.timers, aParts.clock,
+               aParts.random, this->budget, this->options, this->stats }
+    , log(aParts.clock)
+    , plain(this->context, this->Finished())
+    , scatter(this->context, this->Finished())
+  {
+  }
+
+  bool SetRouting(Ref<const RoutingState> aRouting) override
+  {
+    if (this->routing && aRouting->version <= this->routing->version) {
+      return false;
+    }
+    LogEvent(LogLevel::kInfo,
+             "configuration_in_force",
+             { { "version", aRouting->version },
+               { "replaces", this->routing ? this->routing->version : 0 },
+               { "routes", aRouting->routes.size() } });
+    this->routing = std::move(aRouting);
+    this->splits.Clear();
+    this->exchange.SetConnectionLimits(this->routing->connections);
+    return true;
+  }
+
+  Ref<const RoutingState> Routing() const override { return this->routing; }
+
+  void SetExtraLoadShare(double aShare) override { this->budget.SetShare(aShare); }
+
+  std::uint64_t Start(GatewayRequest aRequest, Handler aHandler) override
+  {
+    RunnerRequest request;
+    request.message = std::move(aRequest.message);
+    request.received = this->clock.Now();
+    request.routing = this->routing;
+    if (!this->routing) {
+      this->Reply(request, aHandler, Refusal("no_configuration", kNotReadyRetry, this->random), 0);
+      return 0;
+    }
+    request.route = this->routing->Match(aRequest.host, PathOf(request.message->target));
+    if (request.route == nullptr) {
+      GatewayReply reply;
+      reply.outcome = GatewayOutcome::kNoRoute;
+      reply.reason = "no_route";
+      this->Reply(request, aHandler, std::move(reply), 0);
+      return 0;
+    }
+    this->SetTimes(request, aRequest.patience);
+    return this->Run(std::move(request), std::move(aHandler));
+  }
+
+  void Abandon(std::uint64_t aHandle) override
+  {
+    const auto found = this->handlers.find(aHandle);
+    if (found == this->handlers.end()) {
+      return;
+    }
+    this->handlers.erase(found);
+    ++this->stats.callersGone;
+    this->plain.Abandon(aHandle);
+    this->scatter.Abandon(aHandle);
+  }
+
+  std::size_t InProgress() const override { return this->handlers.size(); }
+
+  const GatewayStats& Stats() const override { return this->stats; }
+
+private:
+  RunnerFinished Finished()
+  {
+    return [this](const RunnerRequest& aRequest, GatewayReply aReply, std::uint32_t aExtraCalls) {
+      const auto found = this->handlers.find(aRequest.handle);
+      const Handler handler = std::move(found->second);
+      this->handlers.erase(found);
+      this->Reply(aRequest, handler, std::move(aReply), aExtraCalls);
+    };
+  }
+
+  void SetTimes(RunnerRequest& aRequest, Duration aPatience)
+  {
+    const RouteSpec& route = *aRequest.route;
+    Ref<RouteTimes>& times = this->times[route.name];
+    if (!times) {
+      times.reset(new RouteTimes(route.objective));
+    }
+    aRequest.times = times;
+    const TimePoint now = aRequest.received;
+    const Duration waited = times->NotePatience(aPatience, now);
+    const Duration objective = route.objective;
+    aRequest.deadline = now + aPatience;
+    aRequest.answerBy = now + std::min<Duration>(aPatience - kReturnMargin, route.timeout);
+    aRequest.objective = now + objective - objective / kObjectiveMarginPart - kCallerPath - waited;
+  }
+
+  std::uint64_t Run(RunnerRequest aRequest, Handler aHandler)
+  {
+    const std::uint64_t handle = ++this->lastHandle;
+    aRequest.handle = handle;
+    this->handlers.emplace(handle, std::move(aHandler));
+    const RunnerRequest kept = aRequest;
+    std::optional<GatewayReply> refusal;
+    if (kept.route->Scatter()) {
+      refusal = this->scatter.Start(std::move(aRequest));
+    } else {
+      refusal = this->plain.Start(std::move(aRequest), this->ServiceOf(*kept.route));
+    }
+    if (refusal) {
+      const Handler handler = std::move(this->handlers.at(handle));
+      this->handlers.erase(handle);
+      this->Reply(kept, handler, std::move(*refusal), 0);
+      return 0;
+    }
+    return handle;
+  }
+
+  const std::string& ServiceOf(const RouteSpec& aRoute)
+  {
+    return aRoute.split.empty() ? aRoute.service : this->splits.Next(aRoute);
+  }
+
+  void Reply(const RunnerRequest& aRequest,
+             const Handler& aHandler,
+             GatewayReply aReply,
+             std::uint32_t aExtraCalls)
+  {
+    const Duration elapsed = this->clock.Now() - aRequest.received;
+    ++this->stats.outcomes[static_cast<std::size_t>(aReply.outcome)];
+    this->stats.latencySumNs += static_cast<std::uint64_t>(elapsed.count());
+    std::size_t bucket = 0;
+    double bound = kFirstLatencyBoundNs;
+    while (bucket + 1 < kGatewayLatencyBuckets && static_cast<double>(elapsed.count()) > bound) {
+      bound *= 2;
+      ++bucket;
+    }
+    ++this->stats.latency[bucket];
+    this->log.Write(aRequest, aReply, aExtraCalls, elapsed);
+    aHandler(std::move(aReply));
+  }
+
+  const GatewayOptions options;
+  ILeafExchange& exchange;
+  const IClock& clock;
+  IRandom& random;
+  GatewayStats stats;
+  CallSender sender;
+  ExtraLoadShare budget;
+  RunnerContext context;
+  RequestLog log;
+  PlainRunner plain;
+  ScatterRunner scatter;
+  SplitTurns splits;
+  Ref<const RoutingState> routing;
+  std::unordered_map<std::string, Ref<RouteTimes>> times;
+  std::unordered_map<std::uint64_t, Handler> handlers;
+  std::uint64_t lastHandle = 0;
+};
+
+} // namespace
+
+const char*
+ToString(GatewayOutcome aOutcome)
+{
+  switch (aOutcome) {
+    case GatewayOutcome::kPassed:
+      return "passed";
+    case GatewayOutcome::kMerged:
+      return "merged";
+    case GatewayOutcome::kRefused:
+      return "refused";
+    case GatewayOutcome::kNoRoute:
+      return "no_route";
+    case GatewayOutcome::kFailed:
+      return "failed";
+    case GatewayOutcome::kTimedOut:
+      return "timed_out";
+  }
+  return "unknown";
+}
+
+const char*
+ToString(LeafOutcome aOutcome)
+{
+  switch (aOutcome) {
+    case LeafOutcome::kAnswered:
+      return "answered";
+    case LeafOutcome::kFailed:
+      return "failed";
+    case LeafOutcome::kNotRun:
+      return "not_run";
+    case LeafOutcome::kMisdirected:
+      return "misdirected";
+    case LeafOutcome::kNotSent:
+      return "not_sent";
+    case LeafOutcome::kLost:
+      return "lost";
+  }
+  return "unknown";
+}
+
+std::unique_ptr<IGateway>
+MakeGateway(const GatewayParts& aParts, const GatewayOptions& aOptions)
+{
+  return std::make_unique<Gateway>(aParts, aOptions);
+}
+
+} // namespace yp
--- /dev/null
+++ b/src/gateway/internal/leafchoice.cpp
@@ -0,0 +1,78 @@
+#include "gateway/internal/leafchoice.h"
+#include <algorithm>
+
+namespace yp {
+
+namespace {
+
+constexpr double kColdFactor = 1.6; // slowness of cold leafs on the users' sheets
+// A pause of a leaf lasts about this long; a silent leaf is chosen when the others are slower by more.
+constexpr Duration kSilencePenalty = std::chrono::milliseconds(120);
+// Cost of a refused request: it has to be repeated, or the answer lacks a part.
+constexpr Duration kRefusalPenalty = std::chrono::milliseconds(200);
+constexpr Duration kExcludedPenalty = std::chrono::seconds(10);
+// Leafs that are equally good get requests alike.
+constexpr double kJitter = 0.1;
+
+bool
+Used(const LeafNeed& aNeed, const LeafHandle* aLeaf)
+{
+  return aNeed.used != nullptr &&
+         std::find(aNeed.used->begin(), aNeed.used->end(), aLeaf) != aNeed.used->end();
+}
+
+Duration
+Cost(const LeafHandle& aLeaf,
+     const LeafNeed& aNeed,
+     const GatewayOptions& aOptions,
+     double aJitter,
+     TimePoint aNow)
+{
+  double expected =
+    static_cast<double>(aLeaf.condition.Expected(aNeed.typical, aLeaf.spec.slots, aNow).count());
+  expected *= aNow < aLeaf.warmUntil ? kColdFactor : 1;
+  expected *= 1 + kJitter * aJitter;
+  Duration cost{ static_cast<Duration::rep>(expected) };
+  cost += aLeaf.spec.failureDomain == aOptions.failureDomain ? Duration::zero() : aOptions.remotePenalty;
+  cost += aLeaf.condition.Silent(aNow) ? kSilencePenalty : Duration::zero();
+  cost += aLeaf.condition.Excluded(aNow) ? kExcludedPenalty : Duration::zero();
+  cost += std::chrono::duration_cast<Duration>(kRefusalPenalty * aLeaf.condition.RefusalRate(aNow));
+  return cost;
+}
+
+} // namespace
+
+LeafHandle*
+ChooseLeaf(const std::vector<Ref<LeafHandle>>& aLeafs,
+           const LeafNeed& aNeed,
+           const GatewayOptions& aOptions,
+           IRandom& aRandom,
+           TimePoint aNow)
+{
+  LeafHandle* best = nullptr;
+  Duration bestCost = Duration::max();
+  for (const Ref<LeafHandle>& leaf : aLeafs) {
+    if (!leaf->Open() || Used(aNeed, leaf.get())) {
+      continue;
+    }
+    if (aNeed.proven && (leaf->condition.Silent(aNow) || leaf->condition.Excluded(aNow))) {
+      continue;
+    }
+    const Duration cost = Cost(*leaf, aNeed, aOptions, aRandom.Real(), aNow);
+    if (cost < bestCost) {
+      best = leaf.get();
+      bestCost = cost;
+    }
+  }
+  return best;
+}
+
+bool
+HasUsableLeaf(const std::vector<Ref<LeafHandle>>& aLeafs, TimePoint aNow)
+{
+  return std::any_of(aLeafs.begin(), aLeafs.end(), [aNow](const Ref<LeafHandle>& aLeaf) {
+    return aLeaf->Open() && !aLeaf->condition.Excluded(aNow);
+  });
+}
+
+} // namespace yp
--- /dev/null
+++ b/src/gateway/internal/leafcondition.cpp
@@ -0,0 +1,122 @@
+#include "gateway/leafdirectory.h"
+#include <algorithm>
+#include <cmath>
+
+namespace yp {
+
+namespace {
+
+// A tenth of a sample: ten requests move the average most of the way.
+constexpr double kSampleWeight = 0.1;
+constexpr double kRefusalWeight = 0.2;
+// One pause of a leaf must not make it look slow for long.
+constexpr double kMaxSlownessSample = 4;
+constexpr double kMinSlownessSample = 0.2;
+// What was seen of a leaf that gets no requests any more is forgotten over this time.
+constexpr double kForgetSeconds = 4;
+constexpr double kQueueFactor = 0.5;   // part of a request's time that one more request a slot adds
+constexpr double kSilenceFactor = 2.5; // 99 in 100 requests of spread 0.35 take less
+constexpr Duration kMinSilence = std::chrono::milliseconds(20);
+constexpr std::uint32_t kFailuresToExclude = 2;
+constexpr Duration kFirstExclusion = std::chrono::milliseconds(250);
+constexpr std::uint32_t kMaxExclusionDoublings = 4;
+constexpr Duration kMisdirectedExclusion = std::chrono::seconds(5);
+
+double
+Decay(TimePoint aSince, TimePoint aNow)
+{
+  return std::exp(-std::chrono::duration<double>(aNow - aSince).count() / kForgetSeconds);
+}
+
+} // namespace
+
+void
+LeafCondition::OnSend(OutstandingCall& aCall, TimePoint aNow)
+{
+  aCall.sentAt = aNow;
+  // The first request after an exclusion is a probe; others wait for its outcome.
+  this->probing = this->failures >= kFailuresToExclude;
+  this->outstanding.push_back(aCall);
+}
+
+void
+LeafCondition::OnAnswer(Duration aElapsed, Duration aExpected, TimePoint aNow)
+{
+  this->failures = 0;
+  this->probing = false;
+  this->excludedUntil = TimePoint();
+  this->lastAnswer = aNow;
+  if (aExpected <= Duration::zero()) {
+    return;
+  }
+  const double ratio = static_cast<double>(aElapsed.count()) / static_cast<double>(aExpected.count());
+  const double sample = std::clamp(ratio, kMinSlownessSample, kMaxSlownessSample);
+  const double current = this->Slowness(aNow);
+  this->slowness = current + kSampleWeight * (sample - current);
+  this->lastSample = aNow;
+  this->refusals = this->RefusalRate(aNow) * (1 - kRefusalWeight);
+  this->lastRefusal = aNow;
+}
+
+void
+LeafCondition::OnRefusal(TimePoint aNow)
+{
+  const double current = this->RefusalRate(aNow);
+  this->refusals = current + kRefusalWeight * (1 - current);
+  this->lastRefusal = aNow;
+  this->lastAnswer = aNow;
+  this->probing = false;
+}
+
+void
+LeafCondition::OnUnreachable(TimePoint aNow)
+{
+  ++this->failures;
+  this->probing = false;
+  if (this->failures < kFailuresToExclude) {
+    return;
+  }
+  const std::uint32_t doublings = std::min(this->failures - kFailuresToExclude, kMaxExclusionDoublings);
+  this->excludedUntil = aNow + kFirstExclusion * (1U << doublings);
+}
+
+void
+LeafCondition::OnMisdirected(TimePoint aNow)
+{
+  this->probing = false;
+  this->excludedUntil = aNow + kMisdirectedExclusion;
+}
+
+Duration
+LeafCondition::Expected(Duration aTypical, std::uint32_t aSlots, TimePoint aNow) const
+{
+  const double busy = static_cast<double>(this->InFlight()) / std::max<std::uint32_t>(1, aSlots);
+  const double factor = this->Slowness(aNow) * (1 + kQueueFactor * busy);
+  return std::chrono::duration_cast<Duration>(aTypical * factor);
+}
+
+bool
+LeafCondition::Silent(TimePoint aNow) const
+{
+  if (this->outstanding.empty()) {
+    return false;
+  }
+  const OutstandingCall& oldest = this->outstanding.front();
+  const Duration allowed =
+    std::max(kMinSilence, std::chrono::duration_cast<Duration>(oldest.expected * kSilenceFactor));
+  return aNow - std::max(oldest.sentAt, this->lastAnswer) > allowed;
+}
+
+double
+LeafCondition::RefusalRate(TimePoint aNow) const
+{
+  return this->refusals * Decay(this->lastRefusal, aNow);
+}
+
+double
+LeafCondition::Slowness(TimePoint aNow) const
+{
+  return 1 + (this->slowness - 1) * Decay(this->lastSample, aNow);
+}
+
+} // namespace yp
--- /dev/null
+++ b/src/gateway/internal/runnercontext.h
@@ -0,0 +1,68 @@
+#ifndef YP_GATEWAY_INTERNAL_RUNNERCONTEXT_H
+#define YP_GATEWAY_INTERNAL_RUNNERCONTEXT_H
+
+#include "gateway/internal/callsender.h"
+#include "gateway/internal/extraloadshare.h"
+#include "gateway/internal/leafchoice.h"
+
+namespace yp {
+
+/// Time kept for an answer on its way to the caller, so that it arrives before the caller gives up.
+constexpr Duration kReturnMargin = std::chrono::milliseconds(8);
+
+/// What the runners of one gateway share.
+struct RunnerContext
+{
+  CallSender& sender;
+  LeafDirectory& leafs;
+  ITimers& timers;
+  const IClock& clock;
+  IRandom& random;
+  ExtraLoadShare& budget;
+  const GatewayOptions& options;
+  GatewayStats& stats;
+
+  /// Takes a repeated request out of the budget and counts it.
+  bool TrySpend(const std::string& aService)
+  {
+    if (!this->budget.TrySpend(aService)) {
+      ++this->stats.extraRefused;
+      return false;
+    }
+    ++this->stats.extraCalls;
+    return true;
+  }
+};
+
+/// A request that a runner works on.
+struct RunnerRequest
+{
+  std::uint64_t handle = 0;
+  std::shared_ptr<const ForwardedRequest> message;
+  Ref<const RoutingState> routing; ///< keeps the route alive
+  const RouteSpec* route = nullptr;
+  Ref<RouteTimes> times;
+  TimePoint received;
+  TimePoint objective; ///< latest time of an answer with full value
+  TimePoint answerBy;  ///< latest time of any answer
+  TimePoint deadline;  ///< the caller no longer waits after it
+};
+
+/// Called once with a request's answer, never from within Start.
+using RunnerFinished = std::function<void(const RunnerRequest&, GatewayReply, std::uint32_t aExtraCalls)>;
+
+/// \return a refusal with a time to return that is spread around aAfter, so that callers do not return
+/// together
+inline GatewayReply
+Refusal(const char* aReason, Duration aAfter, IRandom& aRandom)
+{
+  GatewayReply reply;
+  reply.outcome = GatewayOutcome::kRefused;
+  reply.reason = aReason;
+  reply.retryAfter = std::chrono::duration_cast<Duration>(aAfter * (0.75 + 0.5 * aRandom.Real()));
+  return reply;
+}
+
+} // namespace yp
+
+#endif
--- /dev/null
+++ b/src/gateway/internal/scatterrunner.cpp
@@ -0,0 +1,294 @@
+#include "gateway/internal/scatterrunner.h"
+#include <algorithm>
+#include <cmath>
+
+namespace yp {
+
+namespace {
+
+// A part is repeated at another leaf when it takes this much longer than 9 in 10 do.
+constexpr double kHedgeFactor = 1.15;
+// Time that a repeated part needs, in usual times, to be in before the objective.
+constexpr double kHedgeLeadFactor = 1.5;
+constexpr std::uint32_t kMaxUnsent = 3;
+// A shard without leafs comes back with a new registration or the end of a leaf's exclusion.
+constexpr Duration kShardsRetry = std::chrono::milliseconds(250);
+constexpr double kRounding = 1e-9;
+
+} // namespace
+
+ScatterRunner::ScatterRunner(RunnerContext& aContext, RunnerFinished aFinished)
+  : context(aContext)
+  , finished(std::move(aFinished))
+{
+}
+
+std::optional<GatewayReply>
+ScatterRunner::Start(RunnerRequest aRequest)
+{
+  const RouteSpec& route = *aRequest.route;
+  const TimePoint now = this->context.clock.Now();
+  std::size_t usable = 0;
+  for (const std::string& shard : route.shards) {
+    this->context.budget.OnRequest(shard);
+    usable += HasUsableLeaf(this->context.leafs.Leafs(shard), now) ? 1 : 0;
+  }
+  const double share = route.minCoverage * static_cast<double>(route.shards.size());
+  const std::size_t needed = std::max<std::size_t>(1, static_cast<std::size_t>(std::ceil(share - kRounding)));
+  if (usable < needed) {
+    return Refusal("shards_unreachable", kShardsRetry, this->context.random);
+  }
+  auto owned = std::make_unique<Run>(route.topRecords);
+  Run& run = *owned;
+  run.request = std::move(aRequest);
+  run.needed = needed;
+  run.parts.resize(route.shards.size());
+  this->runs.emplace(run.request.handle, std::move(owned));
+  for (std::size_t part = 0; part < run.parts.size(); ++part) {
+    if (!this->Send(run, part, Purpose::kFirst)) {
+      run.parts[part].failed = true;
+      ++run.failedCount;
+    }
+  }
+  this->Arm(run, now);
+  return std::nullopt;
+}
+
+bool
+ScatterRunner::Send(Run& aRun, std::size_t aPart, Purpose aPurpose)
+{
+  const TimePoint now = this->context.clock.Now();
+  const std::string& shard = aRun.request.route->shards[aPart];
+  Part& part = aRun.parts[aPart];
+  const bool extra = aPurpose == Purpose::kExtra;
+  const LeafNeed need{ aRun.request.times->Typical(), &part.used, extra };
+  LeafHandle* leaf =
+    ChooseLeaf(this->context.leafs.Leafs(shard), need, this->context.options, this->context.random, now);
+  if (leaf == nullptr || leaf->condition.Excluded(now)) {
+    return false;
+  }
+  if (extra && !this->context.TrySpend(shard)) {
+    return false;
+  }
+  aRun.extra += extra ? 1 : 0;
+  this->context.stats.firstCalls += aPurpose == Purpose::kFirst ? 1 : 0;
+  part.used.push_back(leaf);
+  part.usedRefs.emplace_back(leaf);
+  part.sentAt = now;
+  ++part.mayHaveRun;
+  LeafCall call;
+  call.leaf = leaf;
+  call.request = aRun.request.message;
+  call.deadline = aRun.request.deadline;
+  part.calls.push_back(this->context.sender.Send(
+    std::move(call),
+    aRun.request.times,
+    [this, handle = aRun.request.handle, aPart](std::uint64_t aCall, LeafResult aResult) {
+      this->OnResult(handle, aPart, aCall, std::move(aResult));
+    }));
+  return true;
+}
+
+void
+ScatterRunner::OnResult(std::uint64_t aHandle, std::size_t aPart, std::uint64_t aCall, LeafResult aResult)
+{
+  const auto found = this->runs.find(aHandle);
+  if (found == this->runs.end()) {
+    return;
+  }
+  Run& run = *found->second;
+  Part& part = run.parts[aPart];
+  part.calls.erase(std::remove(part.calls.begin(), part.calls.end(), aCall), part.calls.end());
+  if (part.merged) {
+    return;
+  }
+  if (aResult.outcome != LeafOutcome::kAnswered || !this->Merge(run, part, aResult)) {
+    this->OnUnanswered(run, aPart, aResult);
+  }
+  const TimePoint now = this->context.clock.Now();
+  if (!this->Decide(run, now)) {
+    this->Arm(run, now);
+  }
+}
+
+bool
+ScatterRunner::Merge(Run& aRun, Part& aPart, const LeafResult& aResult)
+{
+  // The same signature twice would make the whole answer wrong.
+  if (!aRun.signatures.insert(aResult.signature).second) {
+    return false;
+  }
+  aRun.merge.Add(aResult.response.body);
+  aPart.merged = true;
+  ++aRun.mergedCount;
+  aRun.failedCount -= aPart.failed ? 1 : 0;
+  aPart.failed = false;
+  for (const std::uint64_t call : aPart.calls) {
+    this->context.sender.Release(call);
+  }
+  aPart.calls.clear();
+  return true;
+}
+
+void
+ScatterRunner::OnUnanswered(Run& aRun, std::size_t aPart, const LeafResult& aResult)
+{
+  Part& part = aRun.parts[aPart];
+  const bool ran = aResult.outcome == LeafOutcome::kFailed || aResult.outcome == LeafOutcome::kLost ||
+                   aResult.outcome == LeafOutcome::kAnswered;
+  part.mayHaveRun -= ran ? 0 : 1;
+  if (!part.calls.empty()) {
+    return;
+  }
+  const bool unsent = aResult.outcome == LeafOutcome::kNotSent;
+  if (unsent && ++part.unsent <= kMaxUnsent && this->Send(aRun, aPart, Purpose::kUnsent)) {
+    return;
+  }
+  if (part.mayHaveRun < aRun.request.route->attempts && this->Send(aRun, aPart, Purpose::kExtra)) {
+    return;
+  }
+  part.failed = true;
+  ++aRun.failedCount;
+}
+
+TimePoint
+ScatterRunner::HedgeAt(const Run& aRun, const Part& aPart) const
+{
+  const RouteTimes& times = *aRun.request.times;
+  const auto slow = std::chrono::duration_cast<Duration>(times.High() * kHedgeFactor);
+  const auto lead = std::chrono::duration_cast<Duration>(times.Typical() * kHedgeLeadFactor);
+  const TimePoint latest = std::max(aPart.sentAt + times.Typical(), aRun.request.objective - lead);
+  return std::min(aPart.sentAt + slow, latest);
+}
+
+void
+ScatterRunner::Hedge(Run& aRun, TimePoint aNow)
+{
+  for (std::size_t index = 0; index < aRun.parts.size(); ++index) {
+    Part& part = aRun.parts[index];
+    if (part.hedged || part.calls.empty() || this->HedgeAt(aRun, part) > aNow) {
+      continue;
+    }
+    part.hedged = true;
+    if (part.mayHaveRun < aRun.request.route->attempts) {
+      this->Send(aRun, index, Purpose::kExtra);
+    }
+  }
+}
+
+bool
+ScatterRunner::Decide(Run& aRun, TimePoint aNow)
+{
+  const std::size_t total = aRun.parts.size();
+  if (aRun.mergedCount + aRun.failedCount == total || aNow >= aRun.request.objective) {
+    if (aRun.mergedCount >= aRun.needed) {
+      this->Answer(aRun);
+      return true;
+    }
+  }
+  if (total - aRun.failedCount < aRun.needed) {
+    this->Fail(aRun, GatewayOutcome::kFailed, "coverage_out_of_reach");
+    return true;
+  }
+  if (aNow >= aRun.request.answerBy) {
+    this->Fail(aRun, GatewayOutcome::kTimedOut, "timeout");
+    return true;
+  }
+  return false;
+}
+
+void
+ScatterRunner::Arm(Run& aRun, TimePoint aNow)
+{
+  TimePoint wake = aRun.request.answerBy;
+  if (aRun.request.objective > aNow) {
+    wake = std::min(wake, aRun.request.objective);
+  }
+  for (const Part& part : aRun.parts) {
+    if (!part.hedged && !part.calls.empty()) {
+      wake = std::min(wake, this->HedgeAt(aRun, part));
+    }
+  }
+  if (aRun.timer != 0 && aRun.timerAt <= wake) {
+    return;
+  }
+  this->context.timers.Cancel(aRun.timer);
+  aRun.timerAt = wake;
+  aRun.timer = this->context.timers.At(wake, [this, handle = aRun.request.handle] { this->Tick(handle); });
+}
+
+void
+ScatterRunner::Tick(std::uint64_t aHandle)
+{
+  const auto found = this->runs.find(aHandle);
+  if (found == this->runs.end()) {
+    return;
+  }
+  Run& run = *found->second;
+  run.timer = 0;
+  const TimePoint now = this->context.clock.Now();
+  if (this->Decide(run, now)) {
+    return;
+  }
+  this->Hedge(run, now);
+  this->Arm(run, now);
+}
+
+void
+ScatterRunner::Answer(Run& aRun)
+{
+  YP_INVARIANT(
+    aRun.signatures.size() == aRun.mergedCount, "gateway.one_signature_a_part", aRun.request.message->id);
+  GatewayReply reply;
+  reply.outcome = GatewayOutcome::kMerged;
+  reply.reason = aRun.mergedCount == aRun.parts.size() ? "complete" : "partial";
+  reply.signatures.assign(aRun.signatures.begin(), aRun.signatures.end());
+  reply.missing = aRun.parts.size() - aRun.mergedCount;
+  reply.records = aRun.merge.Take();
+  this->context.stats.partsMissing += reply.missing;
+  this->Finish(aRun, std::move(reply));
+}
+
+void
+ScatterRunner::Fail(Run& aRun, GatewayOutcome aOutcome, const char* aReason)
+{
+  GatewayReply reply;
+  reply.outcome = aOutcome;
+  reply.reason = aReason;
+  reply.missing = aRun.parts.size() - aRun.mergedCount;
+  this->Finish(aRun, std::move(reply));
+}
+
+void
+ScatterRunner::Finish(Run& aRun, GatewayReply aReply)
+{
+  const auto found = this->runs.find(aRun.request.handle);
+  const std::unique_ptr<Run> run = std::move(found->second);
+  this->runs.erase(found);
+  this->context.timers.Cancel(run->timer);
+  for (const Part& part : run->parts) {
+    for (const std::uint64_t call : part.calls) {
+      this->context.sender.Release(call);
+    }
+  }
+  this->finished(run->request, std::move(aReply), run->extra);
+}
+
+void
+ScatterRunner::Abandon(std::uint64_t aHandle)
+{
+  const auto found = this->runs.find(aHandle);
+  if (found == this->runs.end()) {
+    return;
+  }
+  const std::unique_ptr<Run> run = std::move(found->second);
+  this->runs.erase(found);
+  this->context.timers.Cancel(run->timer);
+  for (const Part& part : run->parts) {
+    for (const std::uint64_t call : part.calls) {
+      this->context.sender.Cancel(call);
+    }
+  }
+}
+
+} // namespace yp
--- /dev/null
+++ b/src/gateway/internal/scatterrunner.h
@@ -0,0 +1,90 @@
+#ifndef YP_GATEWAY_INTERNAL_SCATTERRUNNER_H
+#define YP_GATEWAY_INTERNAL_SCATTERRUNNER_H
+
+#include "gateway/internal/recordmerge.h"
+#include "gateway/internal/runnercontext.h"
+#include <memory>
+#include <optional>
+#include <set>
+#include <unordered_map>
+
+namespace yp {
+
+/// Runs queries over a set of services, the shards, and merges their records. A query answers when all parts
+/// are in, or at its objective with what it has, if that covers enough.
+class ScatterRunner
+{
+public:
+  ScatterRunner(RunnerContext& aContext, RunnerFinished aFinished);
+
+  /// Starts a query.
+  /// \return a refusal when too few shards have leafs that answer; then it was not started
+  std::optional<GatewayReply> Start(RunnerRequest aRequest);
+
+  /// Cancels the calls of a query and forgets it.
+  void Abandon(std::uint64_t aHandle);
+
+private:
+  struct Part
+  {
+    std::vector<LeafHandle*> used;
+    std::vector<Ref<LeafHandle>> usedRefs; ///< keeps the entries of used alive
+    std::vector<std::uint64_t> calls;
+    std::uint32_t mayHaveRun = 0; ///< leafs that may have run it
+    std::uint32_t unsent = 0;
+    bool merged = false;
+    bool failed = false;
+    bool hedged = false;
+    TimePoint sentAt;
+  };
+
+  struct Run
+  {
+    explicit Run(std::size_t aTop)
+      : merge(aTop)
+    {
+    }
+
+    RunnerRequest request;
+    std::vector<Part> parts; ///< in the order of the route's shards
+    RecordMerge merge;
+    std::set<std::string> signatures;
+    std::size_t mergedCount = 0;
+    std::size_t failedCount = 0;
+    std::size_t needed = 1; ///< parts of the least coverage
+    std::uint32_t extra = 0;
+    TimerId timer = 0;
+    TimePoint timerAt;
+  };
+
+  enum class Purpose
+  {
+    kFirst,
+    kUnsent, ///< the call before it was not written
+    kExtra
+  };
+
+  bool Send(Run& aRun, std::size_t aPart, Purpose aPurpose);
+  void OnResult(std::uint64_t aHandle, std::size_t aPart, std::uint64_t aCall, LeafResult aResult);
+  bool Merge(Run& aRun, Part& aPart, const LeafResult& aResult);
+  void OnUnanswered(Run& aRun, std::size_t aPart, const LeafResult& aResult);
+  void Hedge(Run& aRun, TimePoint aNow);
+  TimePoint HedgeAt(const Run& aRun, const Part& aPart) const;
+
+  /// Ends the query when nothing more is needed or can come.
+  /// \return whether it ended
+  bool Decide(Run& aRun, TimePoint aNow);
+  void Arm(Run& aRun, TimePoint aNow);
+  void Tick(std::uint64_t aHandle);
+  void Answer(Run& aRun);
+  void Fail(Run& aRun, GatewayOutcome aOutcome, const char* aReason);
+  void Finish(Run& aRun, GatewayReply aReply);
+
+  RunnerContext& context;
+  RunnerFinished finished;
+  std::unordered_map<std::uint64_t, std::unique_ptr<Run>> runs;
+};
+
+} // namespace yp
+
+#endif
--- /dev/null
+++ b/src/gossip/gossip.h
@@ -0,0 +1,86 @@
+#ifndef YP_GOSSIP_GOSSIP_H
+#define YP_GOSSIP_GOSSIP_H
+
+/// \file
+/// Public header of the library yp_gossip: which nodes are there, learnt from seeds and from each other by
+/// datagrams, and which of them callers are sent to.
+
+#include "gossip/gossiptypes.h"
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <set>
+
+namespace yp {
+
+/// Sends datagrams; they may be lost.
+class IDatagrams
+{
+public:
+  virtual ~IDatagrams() = default;
+  virtual void Send(const Endpoint& aPeer, const std::string& aBytes) = 0;
+};
+
+/// Membership of one node. Used on one thread.
+class IGossipNode
+{
+public:
+  virtual ~IGossipNode() = default;
+
+  /// Begins to probe. Until a peer answers, the seeds are asked.
+  virtual void Start() = 0;
+
+  virtual void SetOwnState(PeerState aState) = 0;
+
+  /// Takes a datagram from a peer; malformed ones are logged and dropped.
+  virtual void OnDatagram(const Endpoint& aFrom, const std::string& aBytes) = 0;
+
+  /// \return all known nodes, this one included; valid until the next call of any method
+  virtual const std::vector<PeerRecord>& Peers() const = 0;
+
+  virtual const PeerRecord& Own() const = 0;
+
+  /// \return number of nodes seen up within the last half minute, at least 1. It does not shrink at once when
+  ///   this node loses contact, so that what the nodes divide among each other is not given out twice.
+  virtual std::size_t FleetSize() const = 0;
+};
+
+/// \param aOwn this node; started and sequence are raised when others know a later run
+std::unique_ptr<IGossipNode>
+MakeGossipNode(PeerRecord aOwn,
+               const GossipOptions& aOptions,
+               IDatagrams& aDatagrams,
+               ITimers& aTimers,
+               const IClock& aClock,
+               IRandom& aRandom);
+
+/// UDP on one io_context that is run by a single thread.
+class IUdpTransport : public IDatagrams
+{
+public:
+  /// Sets the receiver; datagrams before it are dropped.
+  virtual void OnReceive(std::function<void(const Endpoint&, const std::string&)> aHandler) = 0;
+};
+
+/// \return the transport; kBadInput for an address that is not numeric, kUnavailable when it cannot be bound
+Result<std::unique_ptr<IUdpTransport>>
+OpenUdp(boost::asio::io_context& aContext, const Endpoint& aLocal);
+
+/// Whom callers of a failure domain are sent to.
+struct SteeringQuery
+{
+  std::string region;                  ///< of the caller; empty when unknown
+  std::set<std::string> servedDomains; ///< failure domains that have a leaf of nearly every shard
+  std::size_t maxAddresses = 64;
+};
+
+/// Chooses the callers' addresses: ready nodes of the caller's region, by preference in domains with leafs,
+/// as long as these keep a good part of the capacity. When no other node answers, this one is likely to be
+/// cut off itself, and nodes that do not answer are given out too.
+std::vector<Endpoint>
+ChooseEntries(const std::vector<PeerRecord>& aPeers, const SteeringQuery& aQuery, IRandom& aRandom);
+
+} // namespace yp
+
+#endif
--- /dev/null
+++ b/src/gossip/gossiptypes.h
@@ -0,0 +1,52 @@
+#ifndef YP_GOSSIP_GOSSIPTYPES_H
+#define YP_GOSSIP_GOSSIPTYPES_H
+
+#include "framework/global/global.h"
+#include <string>
+#include <vector>
+
+namespace yp {
+
+/// What a node says of itself, or others of it when it does not answer.
+enum class PeerState : std::uint8_t
+{
+  kJoining, ///< does not serve yet
+  kReady,   ///< serves callers
+  kLeaving, ///< finishes what is in progress
+  kDown     ///< does not answer its peers
+};
+
+/// \return the lower-case name used in logs
+const char*
+ToString(PeerState aState);
+
+/// One node of the fleet. A higher start replaces a record, then a higher sequence, then a higher state.
+struct PeerRecord
+{
+  std::string host;
+  Endpoint peers;   ///< datagrams from other nodes
+  Endpoint callers; ///< connections from callers
+  std::string failureDomain;
+  std::string region;
+  std::uint32_t capacity = 1; ///< processor share in thousandths of a core
+  std::uint64_t started = 0;  ///< orders the runs of a host
+  std::uint64_t sequence = 0; ///< raised by the node itself with each change
+  PeerState state = PeerState::kJoining;
+
+  /// \return whether this record replaces another of the same host
+  bool Replaces(const PeerRecord& aOther) const;
+};
+
+/// Settings of a node's gossip.
+struct GossipOptions
+{
+  std::vector<Endpoint> seeds;                             ///< nodes that may know others; may be stale
+  Duration interval = std::chrono::milliseconds(400);      ///< between two probes of this node
+  Duration answerTimeout = std::chrono::milliseconds(250); ///< of a probe; nodes are a few ms apart
+  std::uint32_t probesToDown = 2;                          ///< unanswered probes in a row
+  std::size_t piggyback = 6;                               ///< records a message carries besides the own
+};
+
+} // namespace yp
+
+#endif
--- /dev/null
+++ b/src/gossip/internal/gossipmessages.h
@@ -0,0 +1,35 @@
+#ifndef YP_GOSSIP_INTERNAL_GOSSIPMESSAGES_H
+#define YP_GOSSIP_INTERNAL_GOSSIPMESSAGES_H
+
+#include "gossip/gossiptypes.h"
+
+namespace yp {
+
+enum class GossipKind : std::uint8_t
+{
+  kProbe,  ///< asks for an acknowledgement
+  kAck,    ///< answers a probe
+  kAsk,    ///< asks for all records
+  kRecords ///< some records, without an answer
+};
+
+/// A datagram between nodes, in CBOR.
+struct GossipMessage
+{
+  GossipKind kind = GossipKind::kProbe;
+  std::uint64_t number = 0; ///< of a probe; repeated in its acknowledgement
+  std::uint64_t hash = 0;   ///< of the sender's table
+  PeerRecord sender;
+  std::vector<PeerRecord> records;
+};
+
+std::string
+EncodeGossip(const GossipMessage& aMessage);
+
+/// \return the message; kBadInput when it is malformed
+Result<GossipMessage>
+DecodeGossip(std::string_view aBytes);
+
+} // namespace yp
+
+#endif
--- /dev/null
+++ b/src/gossip/internal/gossiptable.h
@@ -0,0 +1,59 @@
+#ifndef YP_GOSSIP_INTERNAL_GOSSIPTABLE_H
+#define YP_GOSSIP_INTERNAL_GOSSIPTABLE_H
+
+#include "gossip/gossiptypes.h"
+#include <map>
+
+namespace yp {
+
+/// The records of all known nodes, merged from what peers say. The node's own record is never replaced; what
+/// others say wrongly of it is refuted by a higher sequence.
+class GossipTable
+{
+public:
+  GossipTable(PeerRecord aOwn, const IClock& aClock);
+
+  /// Merges a record.
+  /// \return whether the table changed
+  bool Merge(const PeerRecord& aRecord);
+
+  void SetOwnState(PeerState aState);
+
+  /// Marks a node that does not answer.
+  void MarkDown(const std::string& aHost);
+
+  /// Notes that a node answered.
+  void MarkHeard(const std::string& aHost);
+
+  const PeerRecord& Own() const { return this->records.front(); }
+  const std::vector<PeerRecord>& Records() const { return this->records; }
+  const PeerRecord* Find(const std::string& aHost) const;
+
+  /// \return records to pass on, those that were passed on least first, and counts them
+  std::vector<PeerRecord> TakeNews(std::size_t aMost);
+
+  /// \return hash of all records, independent of their order
+  std::uint64_t Hash() const;
+
+  std::size_t FleetSize() const;
+
+private:
+  struct Spread
+  {
+    std::uint32_t sent = 0; ///< messages that carried the record since it changed
+    TimePoint upAt;         ///< last time that the node was known to be up
+  };
+
+  PeerRecord* Mutable(const std::string& aHost);
+  bool MergeOwn(const PeerRecord& aRecord);
+  void Changed(const PeerRecord& aRecord);
+  std::uint32_t SpreadLimit() const;
+
+  const IClock& clock;
+  std::vector<PeerRecord> records; ///< the own record first
+  std::map<std::string, Spread> spread;
+};
+
+} // namespace yp
+
+#endif
--- /dev/null
+++ b/src/leafhttp/internal/leafconnection.cpp
@@ -0,0 +1,312 @@
+#include "leafhttp/internal/leafconnection.h"
+#include <boost/asio/write.hpp>
+#include <sstream>
+
+namespace yp {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+using tcp = asio::ip::tcp;
+
+constexpr unsigned kFirstFinalStatus = 200;
+
+} // namespace
+
+LeafConnection::LeafConnection(LeafHttpCore& aCore, ILeafConnectionOwner& aOwner, Endpoint aPeer)
+  : core(aCore)
+  , owner(&aOwner)
+  , peer(std::move(aPeer))
+  , socket(aCore.context)
+  , idleTimeout(aCore.settings.idleTimeout)
+{
+}
+
+void
+LeafConnection::Open()
+{
+  const Ref<LeafConnection> self(this);
+  ++this->core.stats.opened;
+  this->connectTimer =
+    this->core.timers.At(this->core.clock.Now() + this->core.settings.connectTimeout, [self] {
+      self->connectTimer = 0;
+      if (self->stage == Stage::kConnecting) {
+        self->OnConnected(asio::error::timed_out);
+      }
+    });
+  error_code error;
+  const asio::ip::address address = asio::ip::make_address(this->peer.address, error);
+  if (error) {
+    asio::post(this->core.context, [self, error] { self->OnConnected(error); });
+    return;
+  }
+  this->socket.async_connect(tcp::endpoint(address, this->peer.port), [self](const error_code& aError) {
+    if (self->stage == Stage::kConnecting) {
+      self->OnConnected(aError);
+    }
+  });
+}
+
+void
+LeafConnection::OnConnected(const error_code& aError)
+{
+  const Ref<LeafConnection> self(this);
+  if (this->stage != Stage::kConnecting) {
+    return;
+  }
+  this->core.timers.Cancel(this->connectTimer);
+  if (aError) {
+    ++this->core.stats.connectFailures;
+    this->stage = Stage::kClosed;
+    this->CloseSocket();
+    this->owner->OnConnectFailed(
+      *this, Error{ ErrorCode::kUnavailable, "leaf.connect", ToString(this->peer), aError.message() });
+    return;
+  }
+  error_code ignored;
+  this->socket.non_blocking(true, ignored);
+  this->socket.set_option(tcp::no_delay(true), ignored);
+  this->stage = Stage::kIdle;
+  this->idleSince = this->core.clock.Now();
+  this->ReadMore();
+  this->owner->OnIdle(*this);
+}
+
+std::string
+LeafConnection::Compose(const PendingCall& aCall) const
+{
+  const ForwardedRequest& message = *aCall.call.request;
+  const auto left =
+    std::chrono::duration_cast<std::chrono::milliseconds>(aCall.call.deadline - this->core.clock.Now());
+  http::request<http::string_body> request;
+  request.method_string(message.method);
+  request.target(message.target);
+  for (const HttpHeader& field : this->core.dialect.Fields(aCall.call, left)) {
+    request.insert(field.name, field.value);
+  }
+  request.body() = message.body;
+  request.prepare_payload();
+  std::string text;
+  http::serializer<true, http::string_body> serializer(request);
+  error_code error;
+  do {
+    serializer.next(error, [&](error_code&, const auto& aBuffers) {
+      for (auto it = asio::buffer_sequence_begin(aBuffers); it != asio::buffer_sequence_end(aBuffers); ++it) {
+        const asio::const_buffer part(*it);
+        text.append(static_cast<const char*>(part.data()), part.size());
+      }
+      serializer.consume(boost::beast::buffer_bytes(aBuffers));
+    });
+  } while (!error && !serializer.is_done());
+  return text;
+}
+
+void
+LeafConnection::Start(PendingCall aCall)
+{
+  this->stage = Stage::kBusy;
+  this->current = std::move(aCall);
+  this->ExpectResponse();
+  this->writtenAt = this->core.clock.Now();
+  ++this->core.stats.written;
+  this->Write(this->Compose(*this->current));
+}
+
+void
+LeafConnection::Write(std::string aText)
+{
+  error_code error;
+  const std::size_t written = this->socket.write_some(asio::buffer(aText), error);
+  if (written == aText.size()) {
+    return;
+  }
+  // Errors show on the read side, where what has arrived before is still taken.
+  if (error && error != asio::error::would_block) {
+    return;
+  }
+  this->writing = true;
+  this->output = aText.substr(written);
+  asio::async_write(
+    this->socket,
+    asio::buffer(this->output),
+    [self = Ref<LeafConnection>(this)](const error_code&, std::size_t) { self->writing = false; });
+}
+
+void
+LeafConnection::ExpectResponse()
+{
+  this->parser.emplace();
+  this->parser->eager(true);
+  this->parser->header_limit(static_cast<std::uint32_t>(this->core.settings.maxHeaderBytes));
+  this->parser->body_limit(this->core.settings.maxBodyBytes);
+  this->parser->skip(this->current->call.request->method == "HEAD");
+}
+
+void
+LeafConnection::ReadMore()
+{
+  if (this->stage == Stage::kClosed) {
+    return;
+  }
+  this->socket.async_read_some(
+    asio::buffer(this->input),
+    [self = Ref<LeafConnection>(this)](const error_code& aError, std::size_t aSize) {
+      self->OnRead(aError, aSize);
+    });
+}
+
+void
+LeafConnection::OnRead(const error_code& aError, std::size_t aSize)
+{
+  const Ref<LeafConnection> self(this);
+  if (this->stage == Stage::kClosed) {
+    return;
+  }
+  if (aError) {
+    this->OnInputEnd(aError);
+    return;
+  }
+  if (this->stage == Stage::kIdle) {
+    ++this->core.stats.surplusBytes;
+    this->Close();
+    return;
+  }
+  this->buffer.commit(asio::buffer_copy(this->buffer.prepare(aSize), asio::buffer(this->input, aSize)));
+  if (this->Parse()) {
+    this->ReadMore();
+  }
+}
+
+void
+LeafConnection::OnInputEnd(const error_code& aError)
+{
+  if (this->stage != Stage::kBusy) {
+    this->Close();
+    return;
+  }
+  error_code error;
+  // Only an orderly end completes a body without a length.
+  if (aError == asio::error::eof && this->parser->is_header_done()) {
+    this->parser->put_eof(error);
+    if (!error && this->parser->is_done()) {
+      this->OnResponse();
+      return;
+    }
+  }
+  this->Lose("leaf.read", aError.message());
+}
+
+bool
+LeafConnection::Parse()
+{
+  while (this->stage == Stage::kBusy && this->buffer.size() != 0) {
+    error_code error;
+    const std::size_t used = this->parser->put(this->buffer.data(), error);
+    this->buffer.consume(used);
+    if (error == http::error::need_more) {
+      return true;
+    }
+    if (error) {
+      this->Lose("leaf.parse", error.message());
+      return false;
+    }
+    if (this->parser->is_done() && !this->OnResponse()) {
+      return false;
+    }
+    if (used == 0) {
+      return this->stage != Stage::kClosed;
+    }
+  }
+  return this->stage != Stage::kClosed;
+}
+
+bool
+LeafConnection::OnResponse()
+{
+  const Ref<LeafConnection> self(this);
+  auto message = this->parser->release();
+  if (message.result_int() < kFirstFinalStatus) {
+    this->ExpectResponse();
+    return true;
+  }
+  HttpResponse response;
+  response.status = message.result_int();
+  for (const auto& field : message) {
+    response.headers.push_back({ std::string(field.name_string()), std::string(field.value()) });
+  }
+  response.body = std::move(message.body());
+  const bool framed = message.has_content_length() || message.chunked();
+  if (this->core.dialect.BelongsToAnother(this->current->call, response) && framed) {
+    ++this->core.stats.foreignResponses;
+    this->ExpectResponse();
+    return true;
+  }
+  // The leaf reads the rest of an unfinished request where the next one would begin.
+  bool keep = message.keep_alive() && framed && !this->writing;
+  if (this->buffer.size() != 0) {
+    ++this->core.stats.surplusBytes;
+    keep = false;
+  }
+  const std::optional<Duration> stated = this->core.dialect.IdleTimeout(response);
+  this->idleTimeout = stated
+                        ? std::chrono::duration_cast<Duration>(*stated * this->core.settings.idleTimeoutUsed)
+                        : this->core.settings.idleTimeout;
+  PendingCall call = std::move(*this->current);
+  this->current.reset();
+  LeafResult result;
+  result.elapsed = this->core.clock.Now() - this->writtenAt;
+  this->core.dialect.Judge(call.call, std::move(response), result);
+  if (keep) {
+    this->stage = Stage::kIdle;
+    this->idleSince = this->core.clock.Now();
+    this->owner->OnIdle(*this);
+  } else {
+    this->Close();
+  }
+  call.handler(std::move(result));
+  return this->stage != Stage::kClosed;
+}
+
+void
+LeafConnection::Lose(const char* aStep, const std::string& aDetail)
+{
+  PendingCall call = std::move(*this->current);
+  this->current.reset();
+  this->Close();
+  LeafResult result;
+  result.outcome = LeafOutcome::kLost;
+  result.elapsed = this->core.clock.Now() - this->writtenAt;
+  result.error = Error{ ErrorCode::kConnection, aStep, ToString(this->peer), aDetail };
+  call.handler(std::move(result));
+}
+
+void
+LeafConnection::Close()
+{
+  if (this->stage == Stage::kClosed) {
+    return;
+  }
+  this->stage = Stage::kClosed;
+  this->CloseSocket();
+  this->owner->OnClosed(*this);
+}
+
+void
+LeafConnection::Abort()
+{
+  this->stage = Stage::kClosed;
+  this->core.timers.Cancel(this->connectTimer);
+  this->current.reset();
+  this->CloseSocket();
+}
+
+void
+LeafConnection::CloseSocket()
+{
+  error_code ignored;
+  this->socket.close(ignored);
+}
+
+} // namespace yp
--- /dev/null
+++ b/src/leafhttp/internal/leafconnection.h
@@ -0,0 +1,120 @@
+#ifndef YP_LEAFHTTP_INTERNAL_LEAFCONNECTION_H
+#define YP_LEAFHTTP_INTERNAL_LEAFCONNECTION_H
+
+#include "leafhttp/leafhttp.h"
+#include <array>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+#include <optional>
+
+namespace yp {
+
+/// What connections and pools share.
+struct LeafHttpCore
+{
+  boost::asio::io_context& context;
+  const IClock& clock;
+  ITimers& timers;
+  const ILeafDialect& dialect;
+  LeafHttpStats& stats;
+  const LeafHttpSettings settings;
+};
+
+/// A call and its handler.
+struct PendingCall
+{
+  LeafCall call;
+  ILeafExchange::Handler handler;
+};
+
+class LeafConnection;
+
+/// What a connection tells its pool.
+class ILeafConnectionOwner
+{
+public:
+  virtual ~ILeafConnectionOwner() = default;
+
+  /// The connection is open and carries no call.
+  virtual void OnIdle(LeafConnection& aConnection) = 0;
+
+  /// The connection could not be opened.
+  virtual void OnConnectFailed(LeafConnection& aConnection, const Error& aError) = 0;
+
+  /// The connection is closed; the owner drops it.
+  virtual void OnClosed(LeafConnection& aConnection) = 0;
+};
+
+/// One connection to a leaf, with at most one call at a time. It reads all the time, and so notices when the
+/// leaf closes it.
+class LeafConnection final : public RefCounted<LeafConnection>
+{
+public:
+  LeafConnection(LeafHttpCore& aCore, ILeafConnectionOwner& aOwner, Endpoint aPeer);
+
+  /// Begins to connect.
+  void Open();
+
+  /// Writes a call. The connection must be idle.
+  void Start(PendingCall aCall);
+
+  /// Closes without telling the owner; a call on it gets no result.
+  void Abort();
+
+  bool Idle() const { return this->stage == Stage::kIdle; }
+  bool Connecting() const { return this->stage == Stage::kConnecting; }
+
+  /// \return the id of the call on it; 0 without one
+  std::uint64_t Call() const { return this->current ? this->current->call.id : 0; }
+
+  /// \return how long it has been idle
+  Duration IdleFor() const { return this->core.clock.Now() - this->idleSince; }
+
+  /// \return whether the leaf is expected to keep it open still
+  bool Usable() const { return this->IdleFor() < this->idleTimeout; }
+
+private:
+  using Parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
+
+  enum class Stage
+  {
+    kConnecting,
+    kIdle,
+    kBusy,
+    kClosed
+  };
+
+  void OnConnected(const boost::system::error_code& aError);
+  std::string Compose(const PendingCall& aCall) const;
+  void Write(std::string aText);
+  void ReadMore();
+  void OnRead(const boost::system::error_code& aError, std::size_t aSize);
+  void OnInputEnd(const boost::system::error_code& aError);
+  bool Parse();
+  void ExpectResponse();
+  bool OnResponse();
+  void Lose(const char* aStep, const std::string& aDetail);
+  void Close();
+  void CloseSocket();
+
+  LeafHttpCore& core;
+  ILeafConnectionOwner* owner;
+  const Endpoint peer;
+  boost::asio::ip::tcp::socket socket;
+  Stage stage = Stage::kConnecting;
+  TimerId connectTimer = 0;
+  std::optional<PendingCall> current;
+  std::optional<Parser> parser;
+  std::string output; ///< rest of the request while it is being written
+  bool writing = false;
+  std::array<char, 8192> input;
+  boost::beast::flat_buffer buffer;
+  TimePoint writtenAt;
+  TimePoint idleSince;
+  Duration idleTimeout;
+};
+
+} // namespace yp
+
+#endif
--- a/src/overlay/internal/configreader.h
+++ b/src/overlay/internal/configreader.h
@@ -1,8 +1,8 @@
 #ifndef YP_OVERLAY_INTERNAL_CONFIGREADER_H
 #define YP_OVERLAY_INTERNAL_CONFIGREADER_H
 
+#include "configservice/iconfigservice.h"
 #include "overlay/iconfigreader.h"
-#include "platform/iconfigservice.h"
 #include "tickets/iticketstore.h"
 #include <functional>
 #include <memory>
--- a/src/overlay/overlay.h
+++ b/src/overlay/overlay.h
@@ -4,10 +4,10 @@
 /// \file
 /// Public header of the library yp_overlay: how tickets and membership reach every node.
 
+#include "configservice/iconfigservice.h"
+#include "configservice/ihostlist.h"
 #include "membership/membership.h"
 #include "overlay/ioverlaynode.h"
-#include "platform/iconfigservice.h"
-#include "platform/ihostlist.h"
 #include "tickets/tickets.h"
 #include <functional>
 #include <memory>
--- a/standins/tests/standins_tests.cpp
+++ b/standins/tests/standins_tests.cpp
@@ -1,7 +1,7 @@
+#include "configservice/configservice.h"
 #include "configservice/configservicestandin.h"
 #include "framework/network/tests/servedcontext.h"
 #include "hostlist/hostliststandin.h"
-#include "platform/platform.h"
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
 
