--- a/src/gateway/igateway.h
+++ b/src/gateway/igateway.h
@@ -50,7 +50,9 @@
   std::string failureDomain;   ///< of this node
   double extraLoadRatio = 0.2; ///< repeated leaf requests of the fleet, as a part of its requests
   double extraLoadSlack = 54;  ///< repeated leaf requests of the fleet beyond that, in the window
-  Duration remotePenalty = std::chrono::milliseconds(12); ///< by which a leaf elsewhere has to be faster
+  /// By which a leaf in another failure domain has to be faster, as a part of the route's objective. Bytes
+  /// between domains cost more than a wait that still meets the objective.
+  double remotePenaltyShare = 0.25;
 };
 
 constexpr std::size_t kGatewayOutcomes = 6;
--- a/src/gateway/internal/leafchoice.cpp
+++ b/src/gateway/internal/leafchoice.cpp
@@ -33,7 +33,9 @@
   expected *= aNow < aLeaf.warmUntil ? kColdFactor : 1;
   expected *= 1 + kJitter * aJitter;
   Duration cost{ static_cast<Duration::rep>(expected) };
-  cost += aLeaf.spec.failureDomain == aOptions.failureDomain ? Duration::zero() : aOptions.remotePenalty;
+  if (aLeaf.spec.failureDomain != aOptions.failureDomain) {
+    cost += std::chrono::duration_cast<Duration>(aNeed.objective * aOptions.remotePenaltyShare);
+  }
   cost += aLeaf.condition.Silent(aNow) ? kSilencePenalty : Duration::zero();
   cost += aLeaf.condition.Excluded(aNow) ? kExcludedPenalty : Duration::zero();
   cost += std::chrono::duration_cast<Duration>(kRefusalPenalty * aLeaf.condition.RefusalRate(aNow));
--- a/src/gateway/internal/leafchoice.h
+++ b/src/gateway/internal/leafchoice.h
@@ -10,6 +10,7 @@
 struct LeafNeed
 {
   Duration typical{ 0 };                          ///< usual time of such a request
+  Duration objective{ 0 };                        ///< of the route
   const std::vector<LeafHandle*>* used = nullptr; ///< leafs that got the request; not chosen again
   bool proven = false;                            ///< only leafs that answer now, for a repeated request
 };
--- a/src/gateway/internal/plainrunner.cpp
+++ b/src/gateway/internal/plainrunner.cpp
@@ -44,7 +44,7 @@
 {
   const TimePoint now = this->context.clock.Now();
   const bool hedge = aPurpose == Purpose::kExtra;
-  const LeafNeed need{ aRun.request.times->Typical(), &aRun.used, hedge };
+  const LeafNeed need{ aRun.request.times->Typical(), aRun.request.route->objective, &aRun.used, hedge };
   LeafHandle* leaf = ChooseLeaf(
     this->context.leafs.Leafs(aRun.service), need, this->context.options, this->context.random, now);
   if (leaf == nullptr || (hedge && !this->context.TrySpend(aRun.service))) {
--- a/src/gateway/internal/scatterrunner.cpp
+++ b/src/gateway/internal/scatterrunner.cpp
@@ -61,7 +61,7 @@
   const std::string& shard = aRun.request.route->shards[aPart];
   Part& part = aRun.parts[aPart];
   const bool extra = aPurpose == Purpose::kExtra;
-  const LeafNeed need{ aRun.request.times->Typical(), &part.used, extra };
+  const LeafNeed need{ aRun.request.times->Typical(), aRun.request.route->objective, &part.used, extra };
   LeafHandle* leaf =
     ChooseLeaf(this->context.leafs.Leafs(shard), need, this->context.options, this->context.random, now);
   if (leaf == nullptr || leaf->condition.Excluded(now)) {
--- a/src/gossip/gossip.h
+++ b/src/gossip/gossip.h
@@ -8,9 +8,9 @@
 #include "gossip/gossiptypes.h"
 #include <boost/asio/io_context.hpp>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
-#include <set>
 
 namespace yp {
 
@@ -67,19 +67,34 @@
 Result<std::unique_ptr<IUdpTransport>>
 OpenUdp(boost::asio::io_context& aContext, const Endpoint& aLocal);
 
-/// Whom callers of a failure domain are sent to.
-struct SteeringQuery
+/// What the choice of entries depends on besides the peers.
+struct EntryPolicy
 {
-  std::string region;                  ///< of the caller; empty when unknown
-  std::set<std::string> servedDomains; ///< failure domains that have a leaf of nearly every shard
-  std::size_t maxAddresses = 64;
+  std::map<std::string, double> coverage; ///< by failure domain: share of the shards that have a leaf there
 };
 
-/// Chooses the callers' addresses: ready nodes of the caller's region, by preference in domains with leafs,
-/// as long as these keep a good part of the capacity. When no other node answers, this one is likely to be
-/// cut off itself, and nodes that do not answer are given out too.
+/// The nodes that callers are sent to now. Every node computes it from what it knows; nobody is elected.
+struct EntryPlan
+{
+  std::vector<PeerRecord> entries;
+  std::uint64_t capacity = 0; ///< of all entries
+  bool includesOwn = false;   ///< whether the first of the peers is among them
+
+  /// \return the part of what the entries divide among each other that falls to a node of the given capacity
+  double ShareOf(std::uint32_t aCapacity) const;
+};
+
+/// Chooses the entries: ready nodes, the largest first, until they hold a good part of the fleet's capacity.
+/// Smaller nodes are the reserve. Nodes far from the leafs are left out as long as the others suffice. When
+/// no other node answers, this one is likely to be cut off itself, and nodes that do not answer are taken
+/// too. \param aPeers this node first
+EntryPlan
+PlanEntries(const std::vector<PeerRecord>& aPeers, const EntryPolicy& aPolicy);
+
+/// Draws the addresses of one answer from a plan, by capacity.
+/// \param aRegion of the caller; nodes of other regions are given only when its own has none
 std::vector<Endpoint>
-ChooseEntries(const std::vector<PeerRecord>& aPeers, const SteeringQuery& aQuery, IRandom& aRandom);
+DrawEntries(const EntryPlan& aPlan, const std::string& aRegion, IRandom& aRandom);
 
 } // namespace yp
 
--- a/src/gossip/internal/entrysteering.cpp
+++ b/src/gossip/internal/entrysteering.cpp
@@ -1,19 +1,27 @@
 #include "gossip/gossip.h"
 #include <algorithm>
+#include <cmath>
 
 namespace yp {
 
 namespace {
 
-// Nodes next to the leafs take all callers as long as they keep this part of the capacity, and two of them
-// are there: with fewer, the bytes that stay in a domain are not worth the queue in front of the processor.
-constexpr double kLeastCapacityShare = 0.4;
-constexpr std::size_t kLeastNodes = 2;
+// The largest nodes carry the callers alone while they hold this part of the capacity of all known nodes.
+constexpr double kLeastCapacityShare = 0.2;
+constexpr std::size_t kLeastEntries = 2;
+// A node whose domain has fewer leafs than this part of the best one's moves more bytes between domains.
+constexpr double kNearCoverage = 0.7;
+// Nodes of at least this part of the largest one's capacity count as large.
+constexpr double kLargeCapacity = 0.5;
 // When no other node of at least this many answers, the fault is more likely on this node's side.
 constexpr std::size_t kLeastDownWhenCutOff = 2;
+// Enough for a caller to avoid several that fail; fewer keep the answer short.
+constexpr std::size_t kAddressesAnAnswer = 8;
+
+using Nodes = std::vector<const PeerRecord*>;
 
 std::uint64_t
-Capacity(const std::vector<const PeerRecord*>& aNodes)
+Capacity(const Nodes& aNodes)
 {
   std::uint64_t sum = 0;
   for (const PeerRecord* node : aNodes) {
@@ -22,54 +30,119 @@
   return sum;
 }
 
-/// Nodes that run as far as this node knows.
-std::vector<const PeerRecord*>
-Candidates(const std::vector<PeerRecord>& aPeers, const std::string& aRegion)
+Nodes
+Running(const std::vector<PeerRecord>& aPeers)
 {
-  std::size_t running = 0;
-  std::size_t down = 0;
-  for (const PeerRecord& peer : aPeers) {
-    running += peer.state == PeerState::kReady ? 1 : 0;
-    down += peer.state == PeerState::kDown ? 1 : 0;
-  }
-  const bool cutOff = running <= 1 && down >= kLeastDownWhenCutOff;
-  std::vector<const PeerRecord*> all;
-  std::vector<const PeerRecord*> near;
+  Nodes ready;
+  Nodes down;
   for (const PeerRecord& peer : aPeers) {
-    if (peer.state != PeerState::kReady && !(cutOff && peer.state == PeerState::kDown)) {
-      continue;
-    }
-    all.push_back(&peer);
-    if (peer.region == aRegion) {
-      near.push_back(&peer);
+    if (peer.state == PeerState::kReady) {
+      ready.push_back(&peer);
+    } else if (peer.state == PeerState::kDown) {
+      down.push_back(&peer);
     }
   }
-  return near.empty() ? all : near;
+  if (ready.size() <= 1 && down.size() >= kLeastDownWhenCutOff) {
+    ready.insert(ready.end(), down.begin(), down.end());
+  }
+  return ready;
+}
+
+template<class Predicate>
+Nodes
+Select(const Nodes& aNodes, Predicate aPredicate)
+{
+  Nodes selected;
+  std::copy_if(aNodes.begin(), aNodes.end(), std::back_inserter(selected), aPredicate);
+  return selected;
+}
+
+bool
+Suffices(const Nodes& aNodes, std::uint64_t aNeeded)
+{
+  return aNodes.size() >= kLeastEntries && Capacity(aNodes) >= aNeeded;
+}
+
+double
+CoverageOf(const EntryPolicy& aPolicy, const PeerRecord& aNode)
+{
+  const auto found = aPolicy.coverage.find(aNode.failureDomain);
+  return found == aPolicy.coverage.end() ? 0 : found->second;
+}
+
+Nodes
+NearLeafs(const Nodes& aNodes, const EntryPolicy& aPolicy)
+{
+  double best = 0;
+  for (const auto& [domain, share] : aPolicy.coverage) {
+    best = std::max(best, share);
+  }
+  return Select(aNodes,
+                [&](const PeerRecord* aNode) { return CoverageOf(aPolicy, *aNode) >= kNearCoverage * best; });
+}
+
+Nodes
+Large(const Nodes& aNodes)
+{
+  std::uint32_t largest = 0;
+  for (const PeerRecord* node : aNodes) {
+    largest = std::max(largest, node->capacity);
+  }
+  return Select(aNodes,
+                [largest](const PeerRecord* aNode) { return aNode->capacity >= kLargeCapacity * largest; });
 }
 
 } // namespace
 
+double
+EntryPlan::ShareOf(std::uint32_t aCapacity) const
+{
+  return static_cast<double>(aCapacity) /
+         static_cast<double>(std::max<std::uint64_t>(this->capacity, aCapacity));
+}
+
+EntryPlan
+PlanEntries(const std::vector<PeerRecord>& aPeers, const EntryPolicy& aPolicy)
+{
+  std::uint64_t known = 0;
+  for (const PeerRecord& peer : aPeers) {
+    known += peer.capacity;
+  }
+  const auto needed = static_cast<std::uint64_t>(kLeastCapacityShare * static_cast<double>(known));
+  const Nodes running = Running(aPeers);
+  const Nodes large = Large(running);
+  Nodes chosen = Suffices(large, needed) ? large : running;
+  const Nodes near = NearLeafs(chosen, aPolicy);
+  chosen = Suffices(near, needed) ? near : chosen;
+  EntryPlan plan;
+  for (const PeerRecord* node : chosen) {
+    plan.entries.push_back(*node);
+    plan.capacity += node->capacity;
+    plan.includesOwn |= node == &aPeers.front();
+  }
+  return plan;
+}
+
 std::vector<Endpoint>
-ChooseEntries(const std::vector<PeerRecord>& aPeers, const SteeringQuery& aQuery, IRandom& aRandom)
+DrawEntries(const EntryPlan& aPlan, const std::string& aRegion, IRandom& aRandom)
 {
-  std::vector<const PeerRecord*> nodes = Candidates(aPeers, aQuery.region);
-  std::vector<const PeerRecord*> local;
-  for (const PeerRecord* node : nodes) {
-    if (aQuery.servedDomains.count(node->failureDomain) != 0) {
-      local.push_back(node);
+  const bool near = std::any_of(aPlan.entries.begin(),
+                                aPlan.entries.end(),
+                                [&aRegion](const PeerRecord& aEntry) { return aEntry.region == aRegion; });
+  // Weighted sampling without replacement: the smallest of -log(u) / weight come first.
+  std::vector<std::pair<double, const PeerRecord*>> keys;
+  for (const PeerRecord& entry : aPlan.entries) {
+    if (!near || entry.region == aRegion) {
+      keys.emplace_back(-std::log(1 - aRandom.Real()) / entry.capacity, &entry);
     }
   }
-  const double least = kLeastCapacityShare * static_cast<double>(Capacity(nodes));
-  if (local.size() >= kLeastNodes && static_cast<double>(Capacity(local)) >= least) {
-    nodes = std::move(local);
-  }
-  std::vector<Endpoint> entries;
-  while (!nodes.empty() && entries.size() < aQuery.maxAddresses) {
-    const std::size_t chosen = aRandom.Below(nodes.size());
-    entries.push_back(nodes[chosen]->callers);
-    nodes.erase(nodes.begin() + static_cast<std::ptrdiff_t>(chosen));
+  std::sort(keys.begin(), keys.end());
+  keys.resize(std::min(keys.size(), kAddressesAnAnswer));
+  std::vector<Endpoint> addresses;
+  for (const auto& [key, entry] : keys) {
+    addresses.push_back(entry->callers);
   }
-  return entries;
+  return addresses;
 }
 
 } // namespace yp
