--- /dev/null
+++ b/src/changefeed/internal/changebatch.cpp
@@ -0,0 +1,75 @@
+#include "changefeed/changefeed.h"
+#include <nlohmann/json.hpp>
+
+namespace yp {
+
+namespace {
+
+constexpr std::size_t kBatchFields = 4;
+constexpr std::size_t kChangeFields = 5;
+constexpr CodecLimits kBatchLimits{ 16 * 1024 * 1024, 8 };
+
+Json::binary_t
+ToBinary(const std::string& aBytes)
+{
+  return Json::binary_t({ aBytes.begin(), aBytes.end() });
+}
+
+Change
+ChangeOf(const Json& aValue)
+{
+  if (!aValue.is_array() || aValue.size() != kChangeFields) {
+    throw std::runtime_error("a change has another number of fields");
+  }
+  const Json::binary_t& bytes = aValue[4].get_binary();
+  return Change{ aValue[0].get<std::string>(),
+                 std::string(bytes.begin(), bytes.end()),
+                 aValue[1].get<std::uint64_t>(),
+                 aValue[2].get<bool>(),
+                 aValue[3].get<bool>() };
+}
+
+ChangeBatch
+BatchOf(const Json& aValue)
+{
+  if (!aValue.is_array() || aValue.size() != kBatchFields || !aValue[3].is_array()) {
+    throw std::runtime_error("not a batch");
+  }
+  ChangeBatch batch;
+  batch.after = aValue[0].get<std::uint64_t>();
+  batch.upTo = aValue[1].get<std::uint64_t>();
+  batch.whole = aValue[2].get<bool>();
+  for (const Json& change : aValue[3]) {
+    batch.changes.push_back(ChangeOf(change));
+  }
+  return batch;
+}
+
+} // namespace
+
+std::string
+EncodeBatch(const ChangeBatch& aBatch)
+{
+  Json changes = Json::array();
+  for (const Change& change : aBatch.changes) {
+    changes.push_back(Json::array({ change.key,
+                                    change.revision,
+                                    change.removed,
+                                    change.mayReturn,
+                                    Json::binary(ToBinary(change.value)) }));
+  }
+  return EncodeCbor(Json::array({ aBatch.after, aBatch.upTo, aBatch.whole, std::move(changes) }));
+}
+
+Result<ChangeBatch>
+DecodeBatch(std::string_view aBytes)
+{
+  BOOST_LEAF_AUTO(value, ParseCbor(aBytes, kBatchLimits));
+  try {
+    return BatchOf(value);
+  } catch (const std::exception& error) {
+    return Fail(ErrorCode::kBadInput, "changefeed.decode", "", error.what());
+  }
+}
+
+} // namespace yp
--- /dev/null
+++ b/src/changefeed/internal/readerrank.cpp
@@ -0,0 +1,101 @@
+#include "changefeed/readerrank.h"
+#include <algorithm>
+#include <set>
+
+namespace yp {
+
+namespace {
+
+// Below this size it costs less that all nodes read than that they tell each other.
+constexpr std::size_t kSmallFleet = 4;
+// Any two may be lost at the same moment.
+constexpr std::size_t kReaders = 3;
+
+bool
+Up(const PeerRecord& aPeer)
+{
+  return aPeer.state == PeerState::kReady || aPeer.state == PeerState::kJoining;
+}
+
+/// Largest first; ready ones before joining ones.
+std::vector<const PeerRecord*>
+Ranked(const std::vector<PeerRecord>& aPeers)
+{
+  std::vector<const PeerRecord*> ranked;
+  for (const PeerRecord& peer : aPeers) {
+    if (Up(peer)) {
+      ranked.push_back(&peer);
+    }
+  }
+  std::sort(ranked.begin(), ranked.end(), [](const PeerRecord* aLeft, const PeerRecord* aRight) {
+    if (aLeft->state != aRight->state) {
+      return aLeft->state == PeerState::kReady;
+    }
+    if (aLeft->capacity != aRight->capacity) {
+      return aLeft->capacity > aRight->capacity;
+    }
+    return Hash64(aLeft->host) < Hash64(aRight->host);
+  });
+  return ranked;
+}
+
+} // namespace
+
+std::vector<std::string>
+ChooseReaders(const std::vector<PeerRecord>& aPeers)
+{
+  std::vector<std::string> readers;
+  std::set<std::string> domains;
+  std::vector<const PeerRecord*> ranked = Ranked(aPeers);
+  const bool small = ranked.size() <= kSmallFleet;
+  ranked.erase(
+    std::remove_if(ranked.begin(), ranked.end(), [](const PeerRecord* aPeer) { return aPeer->sourceAway; }),
+    ranked.end());
+  for (const bool spread : { true, false }) {
+    for (const PeerRecord* peer : ranked) {
+      const bool chosen = std::find(readers.begin(), readers.end(), peer->host) != readers.end();
+      if (chosen || (spread && domains.count(peer->failureDomain) != 0)) {
+        continue;
+      }
+      if (small || readers.size() < kReaders) {
+        readers.push_back(peer->host);
+        domains.insert(peer->failureDomain);
+      }
+    }
+  }
+  return readers;
+}
+
+std::string
+ChooseRelay(const std::vector<PeerRecord>& aPeers, const std::string& aDomain)
+{
+  for (const PeerRecord* peer : Ranked(aPeers)) {
+    if (peer->failureDomain == aDomain) {
+      return peer->host;
+    }
+  }
+  return {};
+}
+
+std::vector<const PeerRecord*>
+ChooseTold(const std::vector<PeerRecord>& aPeers, bool aReads)
+{
+  const PeerRecord& own = aPeers.front();
+  const bool tellsDomain = aReads || ChooseRelay(aPeers, own.failureDomain) == own.host;
+  std::set<std::string> relays;
+  if (aReads) {
+    for (const PeerRecord& peer : aPeers) {
+      relays.insert(ChooseRelay(aPeers, peer.failureDomain));
+    }
+  }
+  std::vector<const PeerRecord*> told;
+  for (const PeerRecord& peer : aPeers) {
+    const bool domain = tellsDomain && peer.failureDomain == own.failureDomain;
+    if (&peer != &own && Up(peer) && (domain || relays.count(peer.host) != 0)) {
+      told.push_back(&peer);
+    }
+  }
+  return told;
+}
+
+} // namespace yp
--- a/src/gossip/gossip.h
+++ b/src/gossip/gossip.h
@@ -33,6 +33,18 @@
 
   virtual void SetOwnState(PeerState aState) = 0;
 
+  /// Tells others that this node cannot reach the source of changes, or reaches it again.
+  virtual void SetSourceAway(bool aAway) = 0;
+
+  /// Sets what this node knows of the published changes.
+  virtual void SetFeed(const FeedPosition& aPosition) = 0;
+
+  /// Sets who is told what other nodes know.
+  virtual void OnFeed(std::function<void(const PeerRecord&, const FeedPosition&)> aHandler) = 0;
+
+  /// Sends a node this one's record and feed position.
+  virtual void Tell(const PeerRecord& aPeer) = 0;
+
   /// Takes a datagram from a peer; malformed ones are logged and dropped.
   virtual void OnDatagram(const Endpoint& aFrom, const std::string& aBytes) = 0;
 
--- a/src/gossip/gossiptypes.h
+++ b/src/gossip/gossiptypes.h
@@ -32,11 +32,19 @@
   std::uint64_t started = 0;  ///< orders the runs of a host
   std::uint64_t sequence = 0; ///< raised by the node itself with each change
   PeerState state = PeerState::kJoining;
+  bool sourceAway = false; ///< it reads the source of changes, but cannot reach it
 
   /// \return whether this record replaces another of the same host
   bool Replaces(const PeerRecord& aOther) const;
 };
 
+/// How far a node knows what is published. Sent with each message, but not passed on by others.
+struct FeedPosition
+{
+  std::uint64_t revision = 0;
+  TimePoint confirmed; ///< when a reader last heard that nothing newer is there
+};
+
 /// Settings of a node's gossip.
 struct GossipOptions
 {
--- a/src/gossip/internal/gossipmessages.cpp
+++ b/src/gossip/internal/gossipmessages.cpp
@@ -5,8 +5,8 @@
 
 namespace {
 
-constexpr std::size_t kRecordFields = 10;
-constexpr std::size_t kMessageFields = 5;
+constexpr std::size_t kRecordFields = 11;
+constexpr std::size_t kMessageFields = 7;
 
 Json
 ToJson(const PeerRecord& aRecord)
@@ -20,7 +20,8 @@
                        aRecord.capacity,
                        aRecord.started,
                        aRecord.sequence,
-                       static_cast<std::uint8_t>(aRecord.state) });
+                       static_cast<std::uint8_t>(aRecord.state),
+                       aRecord.sourceAway });
 }
 
 PeerRecord
@@ -44,13 +45,14 @@
     throw std::runtime_error("unknown state");
   }
   record.state = static_cast<PeerState>(state);
+  record.sourceAway = aValue[10].get<bool>();
   return record;
 }
 
 GossipMessage
 MessageOf(const Json& aValue)
 {
-  if (!aValue.is_array() || aValue.size() != kMessageFields || !aValue[4].is_array()) {
+  if (!aValue.is_array() || aValue.size() != kMessageFields || !aValue[6].is_array()) {
     throw std::runtime_error("not a message");
   }
   GossipMessage message;
@@ -61,8 +63,10 @@
   message.kind = static_cast<GossipKind>(kind);
   message.number = aValue[1].get<std::uint64_t>();
   message.hash = aValue[2].get<std::uint64_t>();
-  message.sender = RecordOf(aValue[3]);
-  for (const Json& record : aValue[4]) {
+  message.feedRevision = aValue[3].get<std::uint64_t>();
+  message.feedAge = std::chrono::milliseconds(aValue[4].get<std::int64_t>());
+  message.sender = RecordOf(aValue[5]);
+  for (const Json& record : aValue[6]) {
     message.records.push_back(RecordOf(record));
   }
   return message;
@@ -80,6 +84,8 @@
   return EncodeCbor(Json::array({ static_cast<std::uint8_t>(aMessage.kind),
                                   aMessage.number,
                                   aMessage.hash,
+                                  aMessage.feedRevision,
+                                  aMessage.feedAge.count(),
                                   ToJson(aMessage.sender),
                                   std::move(records) }));
 }
--- a/src/gossip/internal/gossipmessages.h
+++ b/src/gossip/internal/gossipmessages.h
@@ -17,8 +17,10 @@
 struct GossipMessage
 {
   GossipKind kind = GossipKind::kProbe;
-  std::uint64_t number = 0; ///< of a probe; repeated in its acknowledgement
-  std::uint64_t hash = 0;   ///< of the sender's table
+  std::uint64_t number = 0;               ///< of a probe; repeated in its acknowledgement
+  std::uint64_t hash = 0;                 ///< of the sender's table
+  std::uint64_t feedRevision = 0;         ///< what the sender knows of the published changes
+  std::chrono::milliseconds feedAge{ 0 }; ///< since that was confirmed
   PeerRecord sender;
   std::vector<PeerRecord> records;
 };
--- a/src/gossip/internal/gossipnode.cpp
+++ b/src/gossip/internal/gossipnode.cpp
@@ -52,6 +52,16 @@
     this->TellSome();
   }
 
+  void SetSourceAway(bool aAway) override { this->table.SetSourceAway(aAway); }
+  void SetFeed(const FeedPosition& aPosition) override { this->feed = aPosition; }
+
+  void OnFeed(std::function<void(const PeerRecord&, const FeedPosition&)> aHandler) override
+  {
+    this->onFeed = std::move(aHandler);
+  }
+
+  void Tell(const PeerRecord& aPeer) override { this->Send(aPeer.peers, GossipKind::kRecords, 0, {}); }
+
   void OnDatagram(const Endpoint& aFrom, const std::string& aBytes) override
   {
     Recover(
@@ -87,6 +97,9 @@
     this->heard = true;
     this->table.Merge(aMessage.sender);
     this->table.MarkHeard(aMessage.sender.host);
+    if (this->onFeed && aMessage.feedRevision != 0) {
+      this->onFeed(aMessage.sender, { aMessage.feedRevision, this->clock.Now() - aMessage.feedAge });
+    }
     for (const PeerRecord& record : aMessage.records) {
       this->table.Merge(record);
     }
@@ -143,8 +156,16 @@
 
   void Send(const Endpoint& aTo, GossipKind aKind, std::uint64_t aNumber, std::vector<PeerRecord> aRecords)
   {
-    this->datagrams.Send(
-      aTo, EncodeGossip({ aKind, aNumber, this->table.Hash(), this->table.Own(), std::move(aRecords) }));
+    GossipMessage message;
+    message.kind = aKind;
+    message.number = aNumber;
+    message.hash = this->table.Hash();
+    message.feedRevision = this->feed.revision;
+    message.feedAge =
+      std::chrono::duration_cast<std::chrono::milliseconds>(this->clock.Now() - this->feed.confirmed);
+    message.sender = this->table.Own();
+    message.records = std::move(aRecords);
+    this->datagrams.Send(aTo, EncodeGossip(message));
   }
 
   /// Tells a change of this node to some others at once; the rest hear it from them.
@@ -255,6 +276,8 @@
   const IClock& clock;
   IRandom& random;
   GossipTable table;
+  FeedPosition feed;
+  std::function<void(const PeerRecord&, const FeedPosition&)> onFeed;
   std::map<std::uint64_t, Probe> probes;
   std::vector<std::string> turn;
   std::uint64_t lastProbe = 0;
--- a/src/gossip/internal/gossiptable.cpp
+++ b/src/gossip/internal/gossiptable.cpp
@@ -104,6 +104,18 @@
   this->Changed(own);
 }
 
+void
+GossipTable::SetSourceAway(bool aAway)
+{
+  PeerRecord& own = this->records.front();
+  if (own.sourceAway == aAway) {
+    return;
+  }
+  own.sourceAway = aAway;
+  ++own.sequence;
+  this->Changed(own);
+}
+
 void
 GossipTable::MarkDown(const std::string& aHost)
 {
@@ -152,6 +164,7 @@
            { { "host", aRecord.host },
              { "state", ToString(aRecord.state) },
              { "domain", aRecord.failureDomain },
+             { "source_away", aRecord.sourceAway ? 1 : 0 },
              { "started", aRecord.started },
              { "sequence", aRecord.sequence } });
 }
--- a/src/gossip/internal/gossiptable.h
+++ b/src/gossip/internal/gossiptable.h
@@ -18,6 +18,7 @@
   bool Merge(const PeerRecord& aRecord);
 
   void SetOwnState(PeerState aState);
+  void SetSourceAway(bool aAway);
 
   /// Marks a node that does not answer.
   void MarkDown(const std::string& aHost);
