--- /dev/null
+++ b/src/changefeed/tests/changefeed_tests.cpp
@@ -0,0 +1,243 @@
+#include "changefeed/changefeed.h"
+#include "gossip/tests/fakefleet.h"
+#include <catch2/catch.hpp>
+
+namespace yp {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+Change
+Value(const std::string& aKey, std::uint64_t aRevision)
+{
+  return Change{ aKey, "value", aRevision, false, false };
+}
+
+/// A source that readers see at once, and nodes that fetch from each other.
+class FeedFleet : public FakeFleet
+{
+public:
+  struct Feed
+    : IChangeReader
+    , IChangePeer
+  {
+    Feed(FeedFleet& aFleet, std::size_t aIndex)
+      : fleet(aFleet)
+      , index(aIndex)
+    {
+      IGossipNode& gossip = aFleet.Gossip(aIndex);
+      this->relay = MakeChangeRelay(
+        { *this, *this, gossip, aFleet.timers, aFleet.clock, aFleet.random, [](const ChangeBatch&) {} });
+      gossip.OnFeed([this](const PeerRecord& aPeer, const FeedPosition& aPosition) {
+        this->relay->OnPeerFeed(aPeer, aPosition);
+      });
+      this->relay->Start();
+    }
+
+    void Begin(std::uint64_t) override
+    {
+      ++this->fleet.begun;
+      this->reading = true;
+      this->Poll();
+    }
+
+    void End() override { this->reading = false; }
+
+    void Poll()
+    {
+      if (!this->reading) {
+        return;
+      }
+      ++this->fleet.reads;
+      if (this->fleet.away.count(this->index) != 0) {
+        this->relay->SetSourceReachable(false);
+      } else {
+        this->relay->SetSourceReachable(true);
+        ChangeBatch batch = this->fleet.source.Since(this->relay->Log().Revision());
+        this->relay->OnRead(batch);
+      }
+      this->fleet.timers.At(this->fleet.clock.Now() + milliseconds(500), [this] { this->Poll(); });
+    }
+
+    void Fetch(const PeerRecord& aPeer, std::uint64_t aAfter, Handler aHandler) override
+    {
+      for (const auto& [other, feed] : this->fleet.feeds) {
+        if (FakeFleet::Host(other) == aPeer.host) {
+          ++this->fleet.fetches;
+          const ChangeBatch batch = feed->relay->Since(aAfter);
+          this->fleet.timers.At(this->fleet.clock.Now() + milliseconds(3),
+                                [batch, aHandler] { aHandler(batch); });
+          return;
+        }
+      }
+      aHandler(std::nullopt);
+    }
+
+    FeedFleet& fleet;
+    const std::size_t index;
+    std::unique_ptr<IChangeRelay> relay;
+    bool reading = false;
+  };
+
+  void StartFeeds(std::size_t aCount)
+  {
+    this->StartAll(aCount);
+    for (std::size_t i = 0; i < aCount; ++i) {
+      this->feeds[i] = std::make_unique<Feed>(*this, i);
+    }
+  }
+
+  void Publish(std::uint64_t aRevision)
+  {
+    ChangeBatch batch;
+    batch.after = this->source.Revision();
+    batch.upTo = aRevision;
+    batch.changes.push_back(Value("key", aRevision));
+    this->source.Apply(batch);
+  }
+
+  std::size_t CountAt(std::uint64_t aRevision) const
+  {
+    return static_cast<std::size_t>(
+      std::count_if(this->feeds.begin(), this->feeds.end(), [&](const auto& aFeed) {
+        return aFeed.second->relay->Log().Revision() == aRevision;
+      }));
+  }
+
+  std::size_t CountReading() const
+  {
+    return static_cast<std::size_t>(std::count_if(
+      this->feeds.begin(), this->feeds.end(), [](const auto& aFeed) { return aFeed.second->reading; }));
+  }
+
+  ChangeLog source;
+  std::map<std::size_t, std::unique_ptr<Feed>> feeds;
+  std::set<std::size_t> away; ///< nodes that the source turns away
+  std::uint64_t begun = 0;
+  std::uint64_t reads = 0;
+  std::uint64_t fetches = 0;
+};
+
+} // namespace
+
+TEST_CASE("Values never go back to an earlier revision", "[changelog]")
+{
+  ChangeLog log;
+  log.Apply({ 0, 5, true, false, { Value("a", 5) } });
+  REQUIRE(log.Apply({ 0, 3, true, false, { Value("a", 2) } }).changes.empty());
+  REQUIRE(log.Apply({ 5, 6, false, false, { Value("a", 4) } }).changes.empty());
+  REQUIRE(log.Revision() == 6);
+}
+
+TEST_CASE("Changes after a gap are not taken", "[changelog]")
+{
+  ChangeLog log;
+  log.Apply({ 0, 5, true, false, { Value("a", 5) } });
+  REQUIRE(log.Apply({ 8, 9, false, false, { Value("a", 9) } }).changes.empty());
+  REQUIRE(log.Revision() == 5);
+}
+
+TEST_CASE("What a whole state does not hold is removed", "[changelog]")
+{
+  ChangeLog log;
+  log.Apply({ 0, 5, true, false, { Value("a", 4), Value("b", 5) } });
+  const ChangeBatch fresh = log.Apply({ 0, 9, true, true, { Value("a", 4) } });
+  REQUIRE(fresh.changes.size() == 1);
+  REQUIRE(fresh.changes[0].key == "b");
+  REQUIRE(fresh.changes[0].removed);
+  REQUIRE(fresh.changes[0].mayReturn);
+}
+
+TEST_CASE("A node that is far behind gets the whole state", "[changelog]")
+{
+  ChangeLog log;
+  std::uint64_t revision = 0;
+  for (int i = 0; i < 3000; ++i) {
+    ++revision;
+    log.Apply({ revision - 1, revision, false, false, { Value("a", revision) } });
+  }
+  REQUIRE(log.Since(1).whole);
+  REQUIRE(log.Since(1).changes.size() == 1);
+  REQUIRE_FALSE(log.Since(revision - 5).whole);
+  REQUIRE(log.Since(revision - 5).changes.size() == 5);
+}
+
+TEST_CASE("A batch survives its encoding", "[changelog]")
+{
+  ChangeBatch batch{
+    3, 9, false, false, { Value("a", 4), Change{ "b", std::string("\0\xff", 2), 9, true, true } }
+  };
+  const bool equal = Recover(
+    [&]() -> Result<bool> {
+      BOOST_LEAF_AUTO(decoded, DecodeBatch(EncodeBatch(batch)));
+      return decoded.after == 3 && decoded.upTo == 9 && decoded.changes.size() == 2 &&
+             decoded.changes[1].value == batch.changes[1].value && decoded.changes[1].mayReturn;
+    },
+    [](const Error&) { return false; });
+  REQUIRE(equal);
+}
+
+TEST_CASE("Three of eighty nodes read, and a change reaches all within a second and a half", "[relay][scale]")
+{
+  FeedFleet fleet;
+  fleet.Publish(1);
+  fleet.StartFeeds(80);
+  fleet.timers.RunFor(seconds(8));
+  REQUIRE(fleet.CountReading() == 3);
+  REQUIRE(fleet.CountAt(1) == 80);
+  fleet.Publish(2);
+  fleet.timers.RunFor(milliseconds(1500));
+  REQUIRE(fleet.CountAt(2) == 80);
+}
+
+TEST_CASE("A change reaches all when a reader is killed at the same moment", "[relay]")
+{
+  FeedFleet fleet;
+  fleet.Publish(1);
+  fleet.StartFeeds(8);
+  fleet.timers.RunFor(seconds(5));
+  const auto reader = std::find_if(
+    fleet.feeds.begin(), fleet.feeds.end(), [](const auto& aFeed) { return aFeed.second->reading; });
+  const std::size_t killed = reader->first;
+  reader->second->reading = false;
+  fleet.cut.insert(FakeFleet::Address(killed));
+  fleet.Publish(2);
+  fleet.timers.RunFor(milliseconds(2500));
+  REQUIRE(fleet.CountAt(2) >= 7);
+}
+
+TEST_CASE("Nodes that the store turns away learn from the others", "[relay][store]")
+{
+  FeedFleet fleet;
+  fleet.Publish(1);
+  fleet.StartFeeds(8);
+  fleet.timers.RunFor(seconds(5));
+  for (const auto& [index, feed] : fleet.feeds) {
+    if (feed->reading) {
+      fleet.away.insert(index);
+    }
+  }
+  fleet.timers.RunFor(seconds(1));
+  fleet.Publish(2);
+  fleet.timers.RunFor(milliseconds(2500));
+  REQUIRE(fleet.CountAt(2) == 8);
+}
+
+TEST_CASE("A node that hears nobody reads by itself", "[relay][partition]")
+{
+  FeedFleet fleet;
+  fleet.Publish(1);
+  fleet.StartFeeds(8);
+  fleet.timers.RunFor(seconds(5));
+  const auto follower = std::find_if(
+    fleet.feeds.begin(), fleet.feeds.end(), [](const auto& aFeed) { return !aFeed.second->reading; });
+  fleet.cut.insert(FakeFleet::Address(follower->first));
+  fleet.timers.RunFor(seconds(3));
+  fleet.Publish(2);
+  fleet.timers.RunFor(seconds(1));
+  REQUIRE(follower->second->relay->Log().Revision() == 2);
+}
+
+} // namespace yp
--- /dev/null
+++ b/src/gateway/tests/fakeexchange.h
@@ -0,0 +1,180 @@
+#ifndef YP_GATEWAY_TESTS_FAKEEXCHANGE_H
+#define YP_GATEWAY_TESTS_FAKEEXCHANGE_H
+
+#include "framework/global/tests/faketimers.h"
+#include "gateway/gateway.h"
+#include <functional>
+
+namespace yp {
+
+/// How a fake leaf answers one call.
+struct FakeAnswer
+{
+  LeafOutcome outcome = LeafOutcome::kAnswered;
+  Duration after = std::chrono::milliseconds(10); ///< negative: never
+  std::string body = "body";
+  unsigned status = 200;
+};
+
+/// Leafs in virtual time: each call is answered as the script of its leaf says.
+class FakeExchange final : public ILeafExchange
+{
+public:
+  FakeExchange(ManualClock& aClock, FakeTimers& aTimers)
+    : clock(aClock)
+    , timers(aTimers)
+  {
+  }
+
+  void Send(LeafCall aCall, Handler aHandler) override
+  {
+    const std::string leaf = aCall.leaf->spec.id;
+    this->sent.push_back(leaf);
+    this->deadlines.push_back(aCall.deadline);
+    const FakeAnswer answer = this->script ? this->script(leaf) : FakeAnswer();
+    if (answer.after < Duration::zero()) {
+      this->open[aCall.id] = 0;
+      return;
+    }
+    const std::uint64_t id = aCall.id;
+    this->open[id] = this->timers.At(this->clock.Now() + answer.after, [this, id, leaf, answer, aHandler] {
+      this->open.erase(id);
+      LeafResult result;
+      result.outcome = answer.outcome;
+      result.elapsed = answer.after;
+      result.response.status = answer.status;
+      result.response.body = answer.body;
+      result.signature = leaf + "." + std::to_string(id);
+      aHandler(std::move(result));
+    });
+  }
+
+  void Cancel(std::uint64_t aCall) override { this->End(aCall); }
+  void Expire(std::uint64_t aCall) override { this->End(aCall); }
+  void SetConnectionShare(double) override {}
+  void SetConnectionLimits(const std::map<std::string, std::uint32_t>&) override {}
+
+  std::size_t CountSent(const std::string& aLeaf) const
+  {
+    return static_cast<std::size_t>(std::count(this->sent.begin(), this->sent.end(), aLeaf));
+  }
+
+  std::function<FakeAnswer(const std::string& aLeaf)> script;
+  std::vector<std::string> sent; ///< leafs, in the order of the calls
+  std::vector<TimePoint> deadlines;
+  std::map<std::uint64_t, TimerId> open; ///< calls without an answer yet
+  std::size_t ended = 0;                 ///< calls that were cancelled or expired
+
+private:
+  void End(std::uint64_t aCall)
+  {
+    const auto found = this->open.find(aCall);
+    if (found == this->open.end()) {
+      return;
+    }
+    this->timers.Cancel(found->second);
+    this->open.erase(found);
+    ++this->ended;
+  }
+
+  ManualClock& clock;
+  FakeTimers& timers;
+};
+
+/// A gateway over fake leafs, with a route of each kind.
+struct GatewayWorld
+{
+  static constexpr std::size_t kShards = 20;
+
+  GatewayWorld()
+  {
+    GatewayOptions options;
+    options.failureDomain = "a";
+    this->gateway =
+      MakeGateway({ this->exchange, this->leafs, this->timers, this->clock, this->random }, options);
+    this->gateway->SetExtraLoadShare(1);
+    this->gateway->SetRouting(this->MakeRouting(1));
+    for (std::size_t shard = 0; shard < kShards; ++shard) {
+      this->AddLeaf(this->Shard(shard) + "-a", this->Shard(shard), "a");
+      this->AddLeaf(this->Shard(shard) + "-b", this->Shard(shard), "b");
+    }
+    this->AddLeaf("plain-a", "plain", "a");
+    this->AddLeaf("plain-b", "plain", "b");
+  }
+
+  static std::string Shard(std::size_t aIndex) { return "shard" + std::to_string(aIndex); }
+
+  static Ref<RoutingState> MakeRouting(std::uint64_t aVersion)
+  {
+    using std::chrono::milliseconds;
+    const Ref<RoutingState> state(new RoutingState);
+    state->version = aVersion;
+    RouteSpec scatter;
+    scatter.name = "scatter";
+    scatter.host = "host";
+    scatter.pathPrefix = "/all/";
+    scatter.timeout = milliseconds(1000);
+    scatter.objective = milliseconds(120);
+    scatter.attempts = 2;
+    scatter.topRecords = 3;
+    scatter.minCoverage = 0.89;
+    for (std::size_t shard = 0; shard < kShards; ++shard) {
+      scatter.shards.push_back(Shard(shard));
+    }
+    RouteSpec plain;
+    plain.name = "plain";
+    plain.host = "host";
+    plain.pathPrefix = "/one/";
+    plain.timeout = milliseconds(4000);
+    plain.objective = milliseconds(400);
+    plain.attempts = 2;
+    plain.service = "plain";
+    RouteSpec once = plain;
+    once.name = "once";
+    once.pathPrefix = "/once/";
+    once.idempotent = false;
+    state->routes = { scatter, plain, once };
+    state->Index();
+    return state;
+  }
+
+  void AddLeaf(const std::string& aId, const std::string& aService, const std::string& aDomain)
+  {
+    LeafRegistration registration;
+    registration.id = aId;
+    registration.service = aService;
+    registration.failureDomain = aDomain;
+    registration.slots = 2;
+    registration.endpoint = Endpoint{ "127.0.0.1", ++this->lastPort };
+    this->leafs.Apply(registration);
+  }
+
+  std::uint64_t Ask(const std::string& aPath,
+                    std::chrono::milliseconds aPatience = std::chrono::milliseconds(1000),
+                    const std::string& aHost = "host")
+  {
+    auto message = std::make_shared<ForwardedRequest>();
+    message->id = "request" + std::to_string(++this->lastRequest);
+    message->method = "GET";
+    message->target = aPath;
+    return this->gateway->Start({ message, aHost, aPatience }, [this](GatewayReply aReply) {
+      this->replies.push_back(std::move(aReply));
+      this->repliedAt = this->clock.Now();
+    });
+  }
+
+  ManualClock clock;
+  FakeTimers timers{ clock };
+  SeededRandom random{ 7 };
+  FakeExchange exchange{ clock, timers };
+  LeafDirectory leafs{ clock };
+  std::unique_ptr<IGateway> gateway;
+  std::vector<GatewayReply> replies;
+  TimePoint repliedAt;
+  std::uint16_t lastPort = 1000;
+  std::uint64_t lastRequest = 0;
+};
+
+} // namespace yp
+
+#endif
--- /dev/null
+++ b/src/gateway/tests/gateway_tests.cpp
@@ -0,0 +1,504 @@
+#include "gateway/tests/fakeexchange.h"
+#include <algorithm>
+#include <catch2/catch.hpp>
+
+namespace yp {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr Duration kNever{ -1 };
+
+std::string
+Record(char aFirst)
+{
+  return std::string(1, aFirst) + std::string(15, 'x');
+}
+
+bool
+EndsWith(const std::string& aText, const std::string& aEnd)
+{
+  return aText.size() >= aEnd.size() && aText.compare(aText.size() - aEnd.size(), aEnd.size(), aEnd) == 0;
+}
+
+} // namespace
+
+TEST_CASE("The longest prefix of a host's routes is matched", "[routing]")
+{
+  const Ref<RoutingState> state(new RoutingState);
+  for (const char* prefix : { "/", "/a/", "/a/b/" }) {
+    RouteSpec route;
+    route.name = prefix;
+    route.host = "h";
+    route.pathPrefix = prefix;
+    state->routes.push_back(route);
+  }
+  state->Index();
+  REQUIRE(state->Match("h", "/a/b/c")->name == "/a/b/");
+  REQUIRE(state->Match("h", "/a/bb")->name == "/a/");
+  REQUIRE(state->Match("h", "/x")->name == "/");
+  REQUIRE(state->Match("other", "/a/") == nullptr);
+}
+
+TEST_CASE("Without a configuration a request is refused and not called unknown", "[gateway]")
+{
+  ManualClock clock;
+  FakeTimers timers(clock);
+  SeededRandom random(1);
+  FakeExchange exchange(clock, timers);
+  LeafDirectory leafs(clock);
+  const auto gateway = MakeGateway({ exchange, leafs, timers, clock, random }, {});
+  std::vector<GatewayReply> replies;
+  auto message = std::make_shared<ForwardedRequest>();
+  message->target = "/x/";
+  gateway->Start({ message, "host", seconds(1) }, [&](GatewayReply aReply) { replies.push_back(aReply); });
+  REQUIRE(replies.size() == 1);
+  REQUIRE(replies[0].outcome == GatewayOutcome::kRefused);
+  REQUIRE(replies[0].retryAfter > Duration::zero());
+}
+
+TEST_CASE("A configuration never goes back to an older version", "[gateway]")
+{
+  GatewayWorld world;
+  REQUIRE(world.gateway->SetRouting(GatewayWorld::MakeRouting(9)));
+  REQUIRE_FALSE(world.gateway->SetRouting(GatewayWorld::MakeRouting(8)));
+  REQUIRE(world.gateway->Routing()->version == 9);
+}
+
+TEST_CASE("A split gets its weights exactly, whatever the node's share of the requests", "[gateway]")
+{
+  GatewayWorld world;
+  const Ref<RoutingState> state = GatewayWorld::MakeRouting(2);
+  RouteSpec split = state->routes[1];
+  split.name = "split";
+  split.pathPrefix = "/split/";
+  split.service.clear();
+  split.split = { { "plain", 3 }, { "other", 1 } };
+  state->routes.push_back(split);
+  state->Index();
+  world.gateway->SetRouting(state);
+  world.AddLeaf("other-a", "other", "a");
+  for (int i = 0; i < 400; ++i) {
+    world.Ask("/split/x");
+    world.timers.RunFor(milliseconds(20));
+  }
+  REQUIRE(world.exchange.CountSent("other-a") == 100);
+}
+
+TEST_CASE("A merged answer holds the greatest records of all parts, greatest first", "[scatter]")
+{
+  GatewayWorld world;
+  world.exchange.script = [](const std::string& aLeaf) {
+    FakeAnswer answer;
+    answer.body = Record(static_cast<char>('a' + aLeaf[5] - '0')) + "short";
+    return answer;
+  };
+  world.Ask("/all/x");
+  world.timers.RunFor(milliseconds(50));
+  REQUIRE(world.replies.size() == 1);
+  const GatewayReply& reply = world.replies[0];
+  REQUIRE(reply.outcome == GatewayOutcome::kMerged);
+  REQUIRE(reply.missing == 0);
+  REQUIRE(reply.signatures.size() == GatewayWorld::kShards);
+  // Shards 1 and 10 to 19 begin with the same character, so equal records all count: 9, 8 and 7 are greatest.
+  REQUIRE(reply.records == Record('j') + Record('i') + Record('h'));
+}
+
+TEST_CASE("A part at a pausing leaf is repeated at the other one and the answer is complete",
+          "[scatter][pauses]")
+{
+  GatewayWorld world;
+  for (int i = 0; i < 30; ++i) {
+    world.Ask("/all/x");
+    world.timers.RunFor(milliseconds(50));
+  }
+  world.replies.clear();
+  world.exchange.script = [](const std::string& aLeaf) {
+    FakeAnswer answer;
+    answer.after = aLeaf == "shard3-a" ? milliseconds(150) : milliseconds(10);
+    return answer;
+  };
+  world.Ask("/all/x");
+  world.timers.RunFor(milliseconds(100));
+  REQUIRE(world.replies.size() == 1);
+  REQUIRE(world.replies[0].missing == 0);
+}
+
+TEST_CASE("While a leaf is silent, first requests go to the other one without extra load",
+          "[scatter][pauses]")
+{
+  GatewayWorld world;
+  for (int i = 0; i < 30; ++i) {
+    world.Ask("/all/x");
+    world.timers.RunFor(milliseconds(50));
+  }
+  world.exchange.script = [](const std::string& aLeaf) {
+    FakeAnswer answer;
+    answer.after = aLeaf == "shard3-a" ? kNever : milliseconds(10);
+    return answer;
+  };
+  world.Ask("/all/x");
+  world.timers.RunFor(milliseconds(60));
+  const std::uint64_t extra = world.gateway->Stats().extraCalls;
+  const std::size_t sent = world.exchange.CountSent("shard3-a");
+  for (int i = 0; i < 5; ++i) {
+    world.Ask("/all/x");
+    world.timers.RunFor(milliseconds(20));
+  }
+  REQUIRE(world.exchange.CountSent("shard3-a") == sent);
+  REQUIRE(world.gateway->Stats().extraCalls == extra);
+}
+
+TEST_CASE("A query answers with what it has before its objective when that covers enough", "[scatter]")
+{
+  GatewayWorld world;
+  world.exchange.script = [](const std::string& aLeaf) {
+    FakeAnswer answer;
+    answer.after = aLeaf.rfind("shard3-", 0) == 0 ? kNever : milliseconds(10);
+    return answer;
+  };
+  const TimePoint start = world.clock.Now();
+  world.Ask("/all/x");
+  world.timers.RunFor(milliseconds(500));
+  REQUIRE(world.replies.size() == 1);
+  REQUIRE(world.replies[0].outcome == GatewayOutcome::kMerged);
+  REQUIRE(world.replies[0].missing == 1);
+  REQUIRE(world.repliedAt - start < milliseconds(120));
+}
+
+TEST_CASE("A query below its least coverage waits beyond its objective", "[scatter]")
+{
+  GatewayWorld world;
+  world.exchange.script = [](const std::string& aLeaf) {
+    FakeAnswer answer;
+    const bool slow = aLeaf[5] >= '3' && aLeaf[5] <= '5';
+    answer.after = slow ? milliseconds(300) : milliseconds(10);
+    return answer;
+  };
+  const TimePoint start = world.clock.Now();
+  world.Ask("/all/x");
+  world.timers.RunFor(milliseconds(900));
+  REQUIRE(world.replies.size() == 1);
+  REQUIRE(world.replies[0].outcome == GatewayOutcome::kMerged);
+  REQUIRE(world.replies[0].missing <= 2);
+  REQUIRE(world.repliedAt - start >= milliseconds(300));
+}
+
+TEST_CASE("A query that cannot reach its least coverage is refused at once", "[scatter][refusal]")
+{
+  GatewayWorld world;
+  for (const char* shard : { "shard1", "shard2", "shard3" }) {
+    world.leafs.Remove(std::string(shard) + "-a");
+    world.leafs.Remove(std::string(shard) + "-b");
+  }
+  world.Ask("/all/x");
+  REQUIRE(world.replies.size() == 1);
+  REQUIRE(world.replies[0].outcome == GatewayOutcome::kRefused);
+  REQUIRE(world.replies[0].retryAfter > Duration::zero());
+  REQUIRE(world.exchange.sent.empty());
+}
+
+TEST_CASE("A query whose parts failed beyond repair ends at once and not at its deadline",
+          "[scatter][refusal]")
+{
+  GatewayWorld world;
+  world.exchange.script = [](const std::string&) {
+    FakeAnswer answer;
+    answer.outcome = LeafOutcome::kFailed;
+    return answer;
+  };
+  const TimePoint start = world.clock.Now();
+  world.Ask("/all/x");
+  world.timers.RunFor(milliseconds(900));
+  REQUIRE(world.replies.size() == 1);
+  REQUIRE(world.replies[0].outcome == GatewayOutcome::kFailed);
+  REQUIRE(world.repliedAt - start < milliseconds(100));
+}
+
+TEST_CASE("The same signature from two parts does not enter an answer twice", "[scatter]")
+{
+  GatewayWorld world;
+  world.Ask("/all/x");
+  world.timers.RunFor(milliseconds(200));
+  std::vector<std::string> signatures = world.replies.at(0).signatures;
+  std::sort(signatures.begin(), signatures.end());
+  REQUIRE(std::adjacent_find(signatures.begin(), signatures.end()) == signatures.end());
+}
+
+TEST_CASE("When a caller leaves, the leafs stop and nothing more is sent", "[gone]")
+{
+  GatewayWorld world;
+  world.exchange.script = [](const std::string&) {
+    FakeAnswer answer;
+    answer.after = kNever;
+    return answer;
+  };
+  const std::uint64_t handle = world.Ask("/all/x");
+  world.timers.RunFor(milliseconds(5));
+  world.gateway->Abandon(handle);
+  const std::size_t sent = world.exchange.sent.size();
+  REQUIRE(world.exchange.open.empty());
+  world.timers.RunFor(seconds(2));
+  REQUIRE(world.exchange.sent.size() == sent);
+  REQUIRE(world.replies.empty());
+  REQUIRE(world.gateway->InProgress() == 0);
+}
+
+TEST_CASE("Calls that are not needed any more end before work for nobody counts as waste", "[gone]")
+{
+  GatewayWorld world;
+  world.exchange.script = [](const std::string& aLeaf) {
+    FakeAnswer answer;
+    answer.after = EndsWith(aLeaf, "3-a") ? kNever : milliseconds(10);
+    return answer;
+  };
+  world.Ask("/all/x");
+  world.timers.RunFor(milliseconds(120));
+  REQUIRE(world.replies.size() == 1);
+  world.timers.RunFor(milliseconds(500));
+  REQUIRE(world.exchange.open.empty());
+}
+
+TEST_CASE("A non-idempotent request whose answer was lost is not repeated and not called not run", "[once]")
+{
+  GatewayWorld world;
+  world.exchange.script = [](const std::string&) {
+    FakeAnswer answer;
+    answer.outcome = LeafOutcome::kLost;
+    return answer;
+  };
+  world.Ask("/once/x");
+  world.timers.RunFor(seconds(2));
+  REQUIRE(world.exchange.sent.size() == 1);
+  REQUIRE(world.replies.at(0).outcome == GatewayOutcome::kFailed);
+}
+
+TEST_CASE("A non-idempotent request at a silent leaf is never repeated", "[once][pauses]")
+{
+  GatewayWorld world;
+  world.exchange.script = [](const std::string&) {
+    FakeAnswer answer;
+    answer.after = kNever;
+    return answer;
+  };
+  world.Ask("/once/x", milliseconds(3000));
+  world.timers.RunFor(seconds(4));
+  REQUIRE(world.exchange.sent.size() == 1);
+  REQUIRE(world.replies.at(0).outcome == GatewayOutcome::kTimedOut);
+}
+
+TEST_CASE("A non-idempotent request that a leaf refused is sent to another one", "[once]")
+{
+  GatewayWorld world;
+  world.exchange.script = [](const std::string& aLeaf) {
+    FakeAnswer answer;
+    answer.outcome = aLeaf == "plain-a" ? LeafOutcome::kNotRun : LeafOutcome::kAnswered;
+    return answer;
+  };
+  world.Ask("/once/x");
+  world.timers.RunFor(seconds(1));
+  REQUIRE(world.exchange.sent.size() == 2);
+  REQUIRE(world.replies.at(0).outcome == GatewayOutcome::kPassed);
+}
+
+TEST_CASE("A request that all leafs refused is refused with a time to return", "[refusal]")
+{
+  GatewayWorld world;
+  world.exchange.script = [](const std::string&) {
+    FakeAnswer answer;
+    answer.outcome = LeafOutcome::kNotRun;
+    return answer;
+  };
+  world.Ask("/once/x");
+  world.timers.RunFor(seconds(1));
+  REQUIRE(world.replies.at(0).outcome == GatewayOutcome::kRefused);
+  REQUIRE(world.replies.at(0).retryAfter > Duration::zero());
+}
+
+TEST_CASE("A leaf's own failure reaches the caller when the request may not be repeated", "[once]")
+{
+  GatewayWorld world;
+  world.exchange.script = [](const std::string&) {
+    FakeAnswer answer;
+    answer.outcome = LeafOutcome::kFailed;
+    answer.status = 500;
+    return answer;
+  };
+  world.Ask("/once/x");
+  world.timers.RunFor(seconds(1));
+  REQUIRE(world.replies.at(0).outcome == GatewayOutcome::kPassed);
+  REQUIRE(world.replies.at(0).response.status == 500);
+}
+
+TEST_CASE("An idempotent request whose answer was lost is repeated within its attempts", "[retry]")
+{
+  GatewayWorld world;
+  world.exchange.script = [](const std::string&) {
+    FakeAnswer answer;
+    answer.outcome = LeafOutcome::kLost;
+    return answer;
+  };
+  world.Ask("/one/x");
+  world.timers.RunFor(seconds(2));
+  REQUIRE(world.exchange.sent.size() == 2);
+  REQUIRE(world.replies.at(0).outcome == GatewayOutcome::kFailed);
+}
+
+TEST_CASE("A request is answered by the time that its route allows", "[deadline]")
+{
+  GatewayWorld world;
+  world.exchange.script = [](const std::string&) {
+    FakeAnswer answer;
+    answer.after = kNever;
+    return answer;
+  };
+  const TimePoint start = world.clock.Now();
+  world.Ask("/one/x", seconds(20));
+  world.timers.RunFor(seconds(10));
+  REQUIRE(world.replies.at(0).outcome == GatewayOutcome::kTimedOut);
+  REQUIRE(world.repliedAt - start == milliseconds(4000));
+  REQUIRE(world.exchange.open.empty());
+}
+
+TEST_CASE("No leaf is told a later deadline than the caller's", "[deadline]")
+{
+  GatewayWorld world;
+  const TimePoint start = world.clock.Now();
+  world.Ask("/all/x", milliseconds(700));
+  for (const TimePoint deadline : world.exchange.deadlines) {
+    REQUIRE(deadline <= start + milliseconds(700));
+  }
+}
+
+TEST_CASE("Draining and withdrawn leafs get no new requests", "[drain]")
+{
+  GatewayWorld world;
+  LeafRegistration draining = world.leafs.Leafs("plain")[0]->spec;
+  draining.draining = true;
+  world.leafs.Apply(draining);
+  for (int i = 0; i < 20; ++i) {
+    world.Ask("/one/x");
+    world.timers.RunFor(milliseconds(20));
+  }
+  REQUIRE(world.exchange.CountSent("plain-a") == 0);
+  world.leafs.Remove("plain-b");
+  world.Ask("/one/x");
+  REQUIRE(world.replies.back().outcome == GatewayOutcome::kRefused);
+}
+
+TEST_CASE("A leaf whose address was taken by another service gets no requests", "[reuse]")
+{
+  GatewayWorld world;
+  LeafRegistration taker = world.leafs.Leafs("plain")[0]->spec;
+  taker.id = "taker";
+  taker.service = "elsewhere";
+  world.leafs.Apply(taker);
+  for (int i = 0; i < 10; ++i) {
+    world.Ask("/one/x");
+    world.timers.RunFor(milliseconds(20));
+  }
+  REQUIRE(world.exchange.CountSent("plain-a") == 0);
+}
+
+TEST_CASE("A leaf that starts again under its id begins without its predecessor's state", "[reuse]")
+{
+  GatewayWorld world;
+  const Ref<LeafHandle> before = world.leafs.Leafs("plain")[0];
+  LeafRegistration again = before->spec;
+  again.started = 5;
+  REQUIRE(world.leafs.Apply(again));
+  REQUIRE(before->withdrawn);
+  REQUIRE(world.leafs.Leafs("plain").size() == 2);
+}
+
+TEST_CASE("Repeated requests stay within the fleet's bound for each service", "[budget]")
+{
+  GatewayWorld world;
+  world.exchange.script = [](const std::string&) {
+    FakeAnswer answer;
+    answer.outcome = LeafOutcome::kLost;
+    answer.after = milliseconds(1);
+    return answer;
+  };
+  constexpr int kRequests = 900; // 10 s at 90 requests a second
+  constexpr double kBound = 0.2 * kRequests + 54;
+  for (int i = 0; i < kRequests; ++i) {
+    world.Ask("/one/x");
+    world.timers.RunFor(milliseconds(11));
+  }
+  const double extra = static_cast<double>(world.exchange.sent.size()) - kRequests;
+  REQUIRE(extra <= kBound);
+}
+
+TEST_CASE("A node's part of the extra load shrinks with its share of the fleet", "[budget]")
+{
+  GatewayWorld world;
+  world.gateway->SetExtraLoadShare(0.1);
+  world.exchange.script = [](const std::string&) {
+    FakeAnswer answer;
+    answer.outcome = LeafOutcome::kLost;
+    answer.after = milliseconds(1);
+    return answer;
+  };
+  for (int i = 0; i < 100; ++i) {
+    world.Ask("/one/x");
+    world.timers.RunFor(milliseconds(10));
+  }
+  REQUIRE(world.gateway->Stats().extraCalls <= 0.2 * 100 + 5.4);
+}
+
+TEST_CASE("Dark leafs of many shards are left out after their first silence", "[dark]")
+{
+  GatewayWorld world;
+  for (int i = 0; i < 30; ++i) {
+    world.Ask("/all/x");
+    world.timers.RunFor(milliseconds(50));
+  }
+  world.exchange.script = [](const std::string& aLeaf) {
+    FakeAnswer answer;
+    const bool dark = aLeaf == "shard1-a" || aLeaf == "shard5-a" || aLeaf == "shard9-a";
+    answer.after = dark ? kNever : milliseconds(10);
+    return answer;
+  };
+  for (int i = 0; i < 20; ++i) {
+    world.Ask("/all/x");
+    world.timers.RunFor(milliseconds(50));
+  }
+  world.replies.clear();
+  const std::size_t before = world.exchange.CountSent("shard5-a");
+  for (int i = 0; i < 20; ++i) {
+    world.Ask("/all/x");
+    world.timers.RunFor(milliseconds(50));
+  }
+  REQUIRE(world.replies.size() == 20);
+  // Probes only: one each 250 ms at the beginning, then less often.
+  REQUIRE(world.exchange.CountSent("shard5-a") - before <= 4);
+  std::size_t complete = 0;
+  for (const GatewayReply& reply : world.replies) {
+    complete += reply.missing == 0 ? 1 : 0;
+  }
+  REQUIRE(complete >= 18);
+}
+
+TEST_CASE("A request whose leafs are all out of reach is refused at once", "[refusal][dark]")
+{
+  GatewayWorld world;
+  world.exchange.script = [](const std::string&) {
+    FakeAnswer answer;
+    answer.outcome = LeafOutcome::kNotSent;
+    answer.after = milliseconds(1);
+    return answer;
+  };
+  for (int i = 0; i < 5; ++i) {
+    world.Ask("/one/x");
+    world.timers.RunFor(milliseconds(10));
+  }
+  const std::size_t sent = world.exchange.sent.size();
+  world.Ask("/one/x");
+  REQUIRE(world.replies.back().outcome == GatewayOutcome::kRefused);
+  REQUIRE(world.exchange.sent.size() == sent);
+}
+
+} // namespace yp
--- a/src/gossip/internal/gossipnode.cpp
+++ b/src/gossip/internal/gossipnode.cpp
@@ -10,6 +10,8 @@
 
 constexpr std::size_t kRecordsAMessage = 10; // about 1 KB, which fits in a datagram everywhere
 constexpr Duration kAskPause = std::chrono::seconds(1);
+constexpr Duration kUnsettledAskPause = std::chrono::milliseconds(200);
+constexpr Duration kUnsettledTime = std::chrono::seconds(2);
 constexpr Duration kStartInterval = std::chrono::milliseconds(100); // until the first peer answers
 // Every so many probes go to a node that is believed down, so that both halves of a healed cut find each
 // other.
@@ -49,7 +51,7 @@
       return;
     }
     this->table.SetOwnState(aState);
-    this->TellSome();
+    this->TellSome({});
   }
 
   void SetSourceAway(bool aAway) override { this->table.SetSourceAway(aAway); }
@@ -126,7 +128,8 @@
       this->probes.erase(found);
     }
     const TimePoint now = this->clock.Now();
-    if (aMessage.hash != this->table.Hash() && now - this->askedAt >= kAskPause) {
+    if (aMessage.hash != this->table.Hash() &&
+        now - this->askedAt >= (this->Unsettled() ? kUnsettledAskPause : kAskPause)) {
       this->askedAt = now;
       this->Send(aFrom, GossipKind::kAsk, 0, {});
     }
@@ -168,14 +171,14 @@
     this->datagrams.Send(aTo, EncodeGossip(message));
   }
 
-  /// Tells a change of this node to some others at once; the rest hear it from them.
-  void TellSome()
+  /// Tells some others at once of this node and the given records; the rest hear it from them.
+  void TellSome(const std::vector<PeerRecord>& aRecords)
   {
     constexpr std::size_t kTold = 8;
     std::vector<const PeerRecord*> others = this->Others(false);
     for (std::size_t i = 0; i < kTold && !others.empty(); ++i) {
       const std::size_t chosen = this->random.Below(others.size());
-      this->Send(others[chosen]->peers, GossipKind::kRecords, 0, {});
+      this->Send(others[chosen]->peers, GossipKind::kRecords, 0, aRecords);
       others.erase(others.begin() + static_cast<std::ptrdiff_t>(chosen));
     }
   }
@@ -206,11 +209,15 @@
     if (!next.empty()) {
       this->SendProbe(next, 0);
     }
-    const Duration base = this->heard ? this->options.interval : kStartInterval;
+    const Duration usual = this->Unsettled() ? this->options.interval / 2 : this->options.interval;
+    const Duration base = this->heard ? usual : kStartInterval;
     const auto pause = std::chrono::duration_cast<Duration>(base * (0.85 + 0.3 * this->random.Real()));
     this->roundTimer = this->timers.At(this->clock.Now() + pause, [this] { this->Round(); });
   }
 
+  /// \return whether nodes came or went a short while ago, so that others may know more
+  bool Unsettled() const { return this->clock.Now() - this->table.ChangedAt() < kUnsettledTime; }
+
   void AskSeeds()
   {
     for (const Endpoint& seed : this->options.seeds) {
@@ -268,6 +275,10 @@
       return;
     }
     this->table.MarkDown(probe.host);
+    const PeerRecord* record = this->table.Find(probe.host);
+    if (record != nullptr) {
+      this->TellSome({ *record });
+    }
   }
 
   const GossipOptions options;
--- a/src/gossip/internal/gossiptable.cpp
+++ b/src/gossip/internal/gossiptable.cpp
@@ -156,6 +156,7 @@
 {
   Spread& spread = this->spread[aRecord.host];
   spread.sent = 0;
+  this->changedAt = this->clock.Now();
   if (aRecord.state != PeerState::kDown) {
     spread.upAt = this->clock.Now();
   }
--- a/src/gossip/internal/gossiptable.h
+++ b/src/gossip/internal/gossiptable.h
@@ -38,6 +38,9 @@
 
   std::size_t FleetSize() const;
 
+  /// \return when a record changed last
+  TimePoint ChangedAt() const { return this->changedAt; }
+
 private:
   struct Spread
   {
@@ -53,6 +56,7 @@
   const IClock& clock;
   std::vector<PeerRecord> records; ///< the own record first
   std::map<std::string, Spread> spread;
+  TimePoint changedAt;
 };
 
 } // namespace yp
