--- a/src/gateway/internal/runnercontext.h
+++ b/src/gateway/internal/runnercontext.h
@@ -21,6 +21,7 @@
   ExtraLoadShare& budget;
   const GatewayOptions& options;
   GatewayStats& stats;
+  IPartDelegates* delegates;
 
   /// Takes a repeated request out of the budget and counts it.
   bool TrySpend(const std::string& aService)
@@ -46,6 +47,7 @@
   TimePoint objective; ///< latest time of an answer with full value
   TimePoint answerBy;  ///< latest time of any answer
   TimePoint deadline;  ///< the caller no longer waits after it
+  bool partial = false; ///< part of another node's query: answers at its objective with any coverage
 };
 
 /// Called once with a request's answer, never from within Start.
