--- a/src/delegation/delegation.h
+++ b/src/delegation/delegation.h
@@ -2,8 +2,8 @@
 #define YP_DELEGATION_DELEGATION_H
 
 /// \file
-/// Public header of the library yp_delegation: parts of queries between nodes, so that records cross failure domains
-/// merged and not shard by shard.
+/// Public header of the library yp_delegation: parts of queries between nodes, so that records cross failure
+/// domains merged and not shard by shard.
 
 #include "gateway/gateway.h"
 #include "gossip/gossip.h"
--- a/src/delegation/internal/delegationserver.cpp
+++ b/src/delegation/internal/delegationserver.cpp
@@ -15,11 +15,12 @@
   Recover(
     [&]() -> Result<void> {
       BOOST_LEAF_AUTO(request, DecodePartsRequest(aRequest.body));
-      const std::uint64_t handle = aGateway.StartParts(std::move(request), [aRespond](const PartsReply& aReply) {
-        HttpResponse response;
-        response.body = EncodePartsReply(aReply);
-        aRespond(std::move(response));
-      });
+      const std::uint64_t handle =
+        aGateway.StartParts(std::move(request), [aRespond](const PartsReply& aReply) {
+          HttpResponse response;
+          response.body = EncodePartsReply(aReply);
+          aRespond(std::move(response));
+        });
       if (handle != 0) {
         exchange->OnClientGone([&aGateway, handle] { aGateway.Abandon(handle); });
       }
--- a/src/delegation/internal/partsmessages.cpp
+++ b/src/delegation/internal/partsmessages.cpp
@@ -56,7 +56,10 @@
   PartsReply reply;
   reply.shards = aValue[0].get<std::vector<std::string>>();
   reply.signatures = aValue[1].get<std::vector<std::string>>();
-  reply.untried = aValue[2].get<std::vector<std::string>>();
+  for (const Json& missing : aValue[2]) {
+    reply.missing.push_back(
+      { missing.at(0).get<std::string>(), missing.at(1).get<std::vector<std::string>>() });
+  }
   reply.records = FromBinary(aValue[3]);
   if (reply.shards.size() != reply.signatures.size()) {
     throw std::runtime_error("shards and signatures differ in number");
@@ -108,7 +111,12 @@
 std::string
 EncodePartsReply(const PartsReply& aReply)
 {
-  return EncodeCbor(Json::array({ aReply.shards, aReply.signatures, aReply.untried, ToBinary(aReply.records) }));
+  Json missing = Json::array();
+  for (const MissingPart& part : aReply.missing) {
+    missing.push_back(Json::array({ part.shard, part.triedLeafs }));
+  }
+  return EncodeCbor(
+    Json::array({ aReply.shards, aReply.signatures, std::move(missing), ToBinary(aReply.records) }));
 }
 
 Result<PartsReply>
--- a/src/delegation/internal/peerdelegates.cpp
+++ b/src/delegation/internal/peerdelegates.cpp
@@ -7,8 +7,10 @@
 
 // A node that did not answer is not asked again for about the time that gossip needs to see it down.
 constexpr Duration kAvoidTime = std::chrono::milliseconds(1500);
+// Time in which a node that others ask now and then answers something.
+constexpr Duration kResponsiveTime = std::chrono::milliseconds(200);
 constexpr Duration kReplySlack = std::chrono::milliseconds(200); // the runner gives up earlier
-constexpr std::chrono::milliseconds kConnectTimeout{ 100 };       // nodes of a region are a few ms apart
+constexpr std::chrono::milliseconds kConnectTimeout{ 100 };      // nodes of a region are a few ms apart
 
 class PeerDelegates final : public IPartDelegates
 {
@@ -48,6 +50,16 @@
     return number;
   }
 
+  bool Responsive(std::uint64_t aNumber) const override
+  {
+    const auto found = this->running.find(aNumber);
+    if (found == this->running.end()) {
+      return false;
+    }
+    const auto heard = this->heardAt.find(found->second.host);
+    return heard != this->heardAt.end() && this->clock.Now() - heard->second < kResponsiveTime;
+  }
+
   void Cancel(std::uint64_t aNumber, bool aLate) override
   {
     const auto found = this->running.find(aNumber);
@@ -109,6 +121,7 @@
       result.sent = error->code != ErrorCode::kUnavailable && error->step != "http.connect";
       this->Avoid(host, error->detail);
     } else {
+      this->heardAt[host] = this->clock.Now();
       result.reply = this->Decode(std::get<HttpResponse>(aReply), host);
     }
     aHandler(std::move(result));
@@ -141,6 +154,7 @@
   std::uint64_t lastNumber = 0;
   std::map<std::uint64_t, Running> running;
   std::map<std::string, TimePoint> avoidUntil;
+  std::map<std::string, TimePoint> heardAt; ///< last reply of each node
 };
 
 } // namespace
--- a/src/framework/network/internal/httpclient.cpp
+++ b/src/framework/network/internal/httpclient.cpp
@@ -316,7 +316,10 @@
     }
   }
 
-  std::uint64_t Send(const Endpoint& aEndpoint, HttpRequest aRequest, TimePoint aDeadline, Handler aHandler) override
+  std::uint64_t Send(const Endpoint& aEndpoint,
+                     HttpRequest aRequest,
+                     TimePoint aDeadline,
+                     Handler aHandler) override
   {
     const std::uint64_t number = ++this->core->lastNumber;
     const Ref<Exchange> exchange(
--- a/src/gateway/igateway.h
+++ b/src/gateway/igateway.h
@@ -37,14 +37,14 @@
 struct GatewayReply
 {
   GatewayOutcome outcome = GatewayOutcome::kRefused;
-  HttpResponse response;               ///< kPassed
-  std::vector<std::string> signatures; ///< kMerged: of the parts that are in
-  std::vector<std::string> shards;     ///< kMerged: of the parts that are in, in the order of signatures
-  std::vector<std::string> untried;    ///< kMerged: shards that no leaf was asked for
-  std::size_t missing = 0;             ///< kMerged: shards that are left out
-  std::string records;                 ///< kMerged: greatest first
-  Duration retryAfter{ 0 };            ///< kRefused: when the caller had better return
-  const char* reason = "";             ///< static text for logs
+  HttpResponse response;                 ///< kPassed
+  std::vector<std::string> signatures;   ///< kMerged: of the parts that are in
+  std::vector<std::string> shards;       ///< kMerged: of the parts that are in, in the order of signatures
+  std::vector<MissingPart> missingParts; ///< kMerged: the shards that are left out
+  std::size_t missing = 0;               ///< kMerged: shards that are left out
+  std::string records;                   ///< kMerged: greatest first
+  Duration retryAfter{ 0 };              ///< kRefused: when the caller had better return
+  const char* reason = "";               ///< static text for logs
 };
 
 /// Settings of a gateway.
@@ -72,9 +72,9 @@
   std::atomic<std::uint64_t> extraRefused{ 0 }; ///< repeated calls that the budget did not allow
   std::atomic<std::uint64_t> partsMissing{ 0 };
   std::atomic<std::uint64_t> callersGone{ 0 };
-  std::atomic<std::uint64_t> partsDelegated{ 0 };   ///< shards that other nodes were asked for
+  std::atomic<std::uint64_t> partsDelegated{ 0 };    ///< shards that other nodes were asked for
   std::atomic<std::uint64_t> delegationsFailed{ 0 }; ///< requests to other nodes without an answer in time
-  std::atomic<std::uint64_t> partsServed{ 0 };      ///< shards that other nodes asked for here
+  std::atomic<std::uint64_t> partsServed{ 0 };       ///< shards that other nodes asked for here
 };
 
 /// Serves callers' requests on one thread.
--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -61,8 +61,8 @@
     , random(aParts.random)
     , sender(aParts)
     , budget(aOptions.extraLoadRatio, aOptions.extraLoadSlack)
-    , context{ this->sender,  aParts.leafs, aParts.timers, aParts.clock,
-               aParts.random, this->budget, this->options, this->stats, aParts.delegates }
+    , context{ this->sender, aParts.leafs,  aParts.timers, aParts.clock,    aParts.random,
+               this->budget, this->options, this->stats,   aParts.delegates }
     , log(aParts.clock)
     , plain(this->context, this->Finished())
     , scatter(this->context, this->Finished())
@@ -134,8 +134,10 @@
     request.deadline = request.received + aRequest.patience;
     request.partial = true;
     return this->Run(std::move(request), [handler = std::move(aHandler)](GatewayReply aReply) {
-      handler(
-        { std::move(aReply.shards), std::move(aReply.signatures), std::move(aReply.untried), std::move(aReply.records) });
+      handler({ std::move(aReply.shards),
+                std::move(aReply.signatures),
+                std::move(aReply.missingParts),
+                std::move(aReply.records) });
     });
   }
 
--- a/src/gateway/internal/runnercontext.h
+++ b/src/gateway/internal/runnercontext.h
@@ -44,9 +44,9 @@
   const RouteSpec* route = nullptr;
   Ref<RouteTimes> times;
   TimePoint received;
-  TimePoint objective; ///< latest time of an answer with full value
-  TimePoint answerBy;  ///< latest time of any answer
-  TimePoint deadline;  ///< the caller no longer waits after it
+  TimePoint objective;  ///< latest time of an answer with full value
+  TimePoint answerBy;   ///< latest time of any answer
+  TimePoint deadline;   ///< the caller no longer waits after it
   bool partial = false; ///< part of another node's query: answers at its objective with any coverage
 };
 
--- a/src/gateway/internal/scatterrunner.cpp
+++ b/src/gateway/internal/scatterrunner.cpp
@@ -16,8 +16,8 @@
 constexpr double kRounding = 1e-9;
 // With fewer shards the exchange between the nodes costs as much as the answers of the leafs.
 constexpr std::size_t kLeastDelegated = 4;
-// Way between two nodes of a region and back, and a wake-up of the other one.
-constexpr Duration kDelegateMargin = std::chrono::milliseconds(4);
+// Way between two nodes of a region and back, and the wait of both for a turn on a part of a core.
+constexpr Duration kDelegateMargin = std::chrono::milliseconds(12);
 
 } // namespace
 
@@ -70,12 +70,14 @@
   std::vector<bool> delegated(aRun.parts.size(), false);
   const bool wanted = this->context.delegates != nullptr && !aRun.request.partial;
   const auto lead = std::chrono::duration_cast<Duration>(aRun.request.times->Typical() * kHedgeLeadFactor);
-  aRun.fallbackAt = aRun.request.objective - lead - kDelegateMargin;
-  Candidates candidates = wanted && aRun.fallbackAt - kDelegateMargin > aNow ? this->RemoteParts(aRun, aNow) : Candidates();
+  aRun.fallbackAt = aRun.request.objective - lead;
+  Candidates candidates =
+    wanted && aRun.fallbackAt - kDelegateMargin > aNow ? this->RemoteParts(aRun, aNow) : Candidates();
   while (!candidates.empty()) {
-    const auto most = std::max_element(candidates.begin(), candidates.end(), [](const auto& aLeft, const auto& aRight) {
-      return aLeft.second.size() < aRight.second.size();
-    });
+    const auto most =
+      std::max_element(candidates.begin(), candidates.end(), [](const auto& aLeft, const auto& aRight) {
+        return aLeft.second.size() < aRight.second.size();
+      });
     const std::string domain = most->first;
     const std::vector<std::size_t> parts = std::move(most->second);
     candidates.erase(most);
@@ -89,7 +91,9 @@
       delegated[part] = true;
     }
     for (auto& [other, rest] : candidates) {
-      rest.erase(std::remove_if(rest.begin(), rest.end(), [&](std::size_t aPart) { return delegated[aPart]; }), rest.end());
+      rest.erase(
+        std::remove_if(rest.begin(), rest.end(), [&](std::size_t aPart) { return delegated[aPart]; }),
+        rest.end());
     }
   }
   std::vector<std::size_t> direct;
@@ -179,7 +183,6 @@
 ScatterRunner::MergeDelegated(Run& aRun, const std::vector<std::size_t>& aParts, const PartsReply& aReply)
 {
   const std::vector<std::string>& shards = aRun.request.route->shards;
-  std::vector<std::size_t> untried;
   for (const std::size_t index : aParts) {
     Part& part = aRun.parts[index];
     const auto in = std::find(aReply.shards.begin(), aReply.shards.end(), shards[index]);
@@ -189,15 +192,38 @@
       YP_INVARIANT(fresh, "gateway.one_signature_a_part", part.signature);
       part.merged = true;
       ++aRun.mergedCount;
-    } else if (std::find(aReply.untried.begin(), aReply.untried.end(), shards[index]) != aReply.untried.end()) {
-      untried.push_back(index);
-    } else {
-      part.failed = true;
-      ++aRun.failedCount;
     }
   }
   aRun.merge.Add(aReply.records);
-  this->AskDirectly(aRun, untried, Purpose::kUnsent);
+  for (const std::size_t index : aParts) {
+    if (!aRun.parts[index].merged) {
+      this->AskMissing(aRun, index, aReply.missing);
+    }
+  }
+}
+
+/// Asks for a part that another node has not got, at a leaf that was not tried.
+void
+ScatterRunner::AskMissing(Run& aRun, std::size_t aPart, const std::vector<MissingPart>& aMissing)
+{
+  const std::string& shard = aRun.request.route->shards[aPart];
+  Part& part = aRun.parts[aPart];
+  for (const MissingPart& missing : aMissing) {
+    for (const Ref<LeafHandle>& leaf : this->context.leafs.Leafs(shard)) {
+      const std::vector<std::string>& tried = missing.triedLeafs;
+      if (missing.shard == shard && std::find(tried.begin(), tried.end(), leaf->spec.id) != tried.end()) {
+        part.used.push_back(leaf.get());
+        part.usedRefs.push_back(leaf);
+        ++part.mayHaveRun;
+      }
+    }
+  }
+  const bool allowed = part.mayHaveRun < aRun.request.route->attempts;
+  const Purpose purpose = part.used.empty() ? Purpose::kUnsent : Purpose::kExtra;
+  if (!allowed || !this->Send(aRun, aPart, purpose)) {
+    part.failed = true;
+    ++aRun.failedCount;
+  }
 }
 
 void
@@ -212,7 +238,7 @@
 ScatterRunner::FallBack(Run& aRun)
 {
   for (Delegation& delegation : aRun.delegations) {
-    if (delegation.number != 0) {
+    if (delegation.number != 0 && !this->context.delegates->Responsive(delegation.number)) {
       // The answers of both ways could not be told apart, so the other node's is given up.
       this->context.delegates->Cancel(delegation.number, true);
       delegation.number = 0;
@@ -386,10 +412,10 @@
   if (aRun.mergedCount + aRun.failedCount == aRun.parts.size()) {
     wake = aNow;
   }
-  const bool delegated = std::any_of(aRun.delegations.begin(), aRun.delegations.end(), [](const Delegation& aOther) {
-    return aOther.number != 0;
-  });
-  if (delegated) {
+  const bool delegated = std::any_of(aRun.delegations.begin(),
+                                     aRun.delegations.end(),
+                                     [](const Delegation& aOther) { return aOther.number != 0; });
+  if (delegated && aRun.fallbackAt > aNow) {
     wake = std::min(wake, aRun.fallbackAt);
   }
   if (aRun.request.objective > aNow) {
@@ -442,8 +468,12 @@
     if (part.merged) {
       reply.signatures.push_back(part.signature);
       reply.shards.push_back(shard);
-    } else if (part.used.empty()) {
-      reply.untried.push_back(shard);
+    } else {
+      MissingPart& missing = reply.missingParts.emplace_back();
+      missing.shard = shard;
+      for (const Ref<LeafHandle>& leaf : part.usedRefs) {
+        missing.triedLeafs.push_back(leaf->spec.id);
+      }
     }
   }
   reply.missing = aRun.parts.size() - aRun.mergedCount;
--- a/src/gateway/internal/scatterrunner.h
+++ b/src/gateway/internal/scatterrunner.h
@@ -86,9 +86,13 @@
   /// \return the parts that remain
   std::vector<std::size_t> Delegate(Run& aRun, TimePoint aNow);
   Candidates RemoteParts(const Run& aRun, TimePoint aNow) const;
-  bool SendDelegation(Run& aRun, const std::string& aDomain, const std::vector<std::size_t>& aParts, TimePoint aNow);
+  bool SendDelegation(Run& aRun,
+                      const std::string& aDomain,
+                      const std::vector<std::size_t>& aParts,
+                      TimePoint aNow);
   void OnDelegated(std::uint64_t aHandle, std::size_t aDelegation, IPartDelegates::Result aResult);
   void MergeDelegated(Run& aRun, const std::vector<std::size_t>& aParts, const PartsReply& aReply);
+  void AskMissing(Run& aRun, std::size_t aPart, const std::vector<MissingPart>& aMissing);
   void AskDirectly(Run& aRun, const std::vector<std::size_t>& aParts, Purpose aPurpose);
   void FallBack(Run& aRun);
   void CancelDelegations(Run& aRun, bool aLate);
--- a/src/gateway/ipartdelegates.h
+++ b/src/gateway/ipartdelegates.h
@@ -19,12 +19,19 @@
   std::chrono::milliseconds patience{ 0 };  ///< from now: how long the caller waits
 };
 
-/// What became of the shards of a PartsRequest. Shards that are in neither list were tried in vain.
+/// A shard without an answer, and the leafs that were asked for it.
+struct MissingPart
+{
+  std::string shard;
+  std::vector<std::string> triedLeafs; ///< ids; those that may have run it
+};
+
+/// What became of the shards of a PartsRequest.
 struct PartsReply
 {
   std::vector<std::string> shards;     ///< that are in
   std::vector<std::string> signatures; ///< of their answers, in the order of shards
-  std::vector<std::string> untried;    ///< shards that no leaf was asked for
+  std::vector<MissingPart> missing;    ///< the other shards
   std::string records;                 ///< greatest of these shards, greatest first
 };
 
@@ -46,6 +53,11 @@
   /// \return number for Cancel; 0 when no node of the domain can take it
   virtual std::uint64_t Send(const std::string& aDomain, const PartsRequest& aRequest, Handler aHandler) = 0;
 
+  /// \return whether the node of a request has answered anything a short while ago, so that it is likely to
+  /// be only
+  ///   late
+  virtual bool Responsive(std::uint64_t aNumber) const = 0;
+
   /// Ends a request; the other node stops work on it.
   /// \param aLate the node did not answer in time and is avoided for a while
   virtual void Cancel(std::uint64_t aNumber, bool aLate) = 0;
