--- a/src/gateway/internal/extraloadshare.cpp
+++ b/src/gateway/internal/extraloadshare.cpp
@@ -31,10 +31,10 @@
 }
 
 void
-ExtraLoadShare::OnRequest(const std::string& aService)
+ExtraLoadShare::OnRequest(const std::string& aService, double aPart)
 {
   double& tokens = this->Bucket(aService);
-  tokens = std::min(this->capacity, tokens + this->ratio);
+  tokens = std::min(this->capacity, tokens + this->ratio * aPart);
 }
 
 bool
--- a/src/gateway/internal/extraloadshare.h
+++ b/src/gateway/internal/extraloadshare.h
@@ -19,7 +19,8 @@
   void SetShare(double aShare);
 
   /// Counts a caller's request for a service.
-  void OnRequest(const std::string& aService);
+  /// \param aPart the part of it that this node counts; less than 1 when another node counts the rest
+  void OnRequest(const std::string& aService, double aPart = 1);
 
   /// Takes one repeated request out of the budget.
   /// \return whether it may be sent
--- a/src/gateway/internal/scatterrunner.cpp
+++ b/src/gateway/internal/scatterrunner.cpp
@@ -16,7 +16,11 @@
 constexpr double kRounding = 1e-9;
 // With fewer shards the exchange between the nodes costs as much as the answers of the leafs.
 constexpr std::size_t kLeastDelegated = 4;
+// Part of a request's extra load that the other node may cause; this one keeps the rest for what comes back
+// missing.
+constexpr double kDelegateBudget = 0.6;
 // Way between two nodes of a region and back, and the wait of both for a turn on a part of a core.
+constexpr Duration kLeastDelegationTime = std::chrono::milliseconds(60);
 constexpr Duration kDelegateMargin = std::chrono::milliseconds(12);
 
 } // namespace
@@ -68,11 +72,11 @@
 ScatterRunner::Delegate(Run& aRun, TimePoint aNow)
 {
   std::vector<bool> delegated(aRun.parts.size(), false);
-  const bool wanted = this->context.delegates != nullptr && !aRun.request.partial;
+  const bool timeEnough = aRun.request.objective - aNow >= kLeastDelegationTime;
+  const bool wanted = this->context.delegates != nullptr && !aRun.request.partial && timeEnough;
   const auto lead = std::chrono::duration_cast<Duration>(aRun.request.times->Typical() * kHedgeLeadFactor);
   aRun.fallbackAt = aRun.request.objective - lead;
-  Candidates candidates =
-    wanted && aRun.fallbackAt - kDelegateMargin > aNow ? this->RemoteParts(aRun, aNow) : Candidates();
+  Candidates candidates = wanted ? this->RemoteParts(aRun, aNow) : Candidates();
   while (!candidates.empty()) {
     const auto most =
       std::max_element(candidates.begin(), candidates.end(), [](const auto& aLeft, const auto& aRight) {
@@ -139,6 +143,7 @@
   request.route = route.name;
   for (const std::size_t part : aParts) {
     request.shards.push_back(route.shards[part]);
+    this->context.budget.OnRequest(route.shards[part], 1 - kDelegateBudget);
   }
   request.attempts = route.attempts;
   request.topRecords = route.topRecords;
@@ -278,7 +283,7 @@
   aRun.extra += extra ? 1 : 0;
   if (aPurpose == Purpose::kFirst) {
     ++this->context.stats.firstCalls;
-    this->context.budget.OnRequest(shard);
+    this->context.budget.OnRequest(shard, aRun.request.partial ? kDelegateBudget : 1);
   }
   part.used.push_back(leaf);
   part.usedRefs.emplace_back(leaf);
--- a/src/gateway/tests/gateway_tests.cpp
+++ b/src/gateway/tests/gateway_tests.cpp
@@ -501,4 +501,174 @@
   REQUIRE(world.exchange.sent.size() == sent);
 }
 
+namespace {
+
+/// Half of the shards have leafs in the domains c and d only, with nodes there.
+struct DividedWorld : GatewayWorld
+{
+  static constexpr std::size_t kRemote = 10;
+
+  DividedWorld()
+  {
+    for (std::size_t shard = 0; shard < kRemote; ++shard) {
+      this->leafs.Remove(Shard(shard) + "-a");
+      this->leafs.Remove(Shard(shard) + "-b");
+      this->AddLeaf(Shard(shard) + "-c", Shard(shard), "c");
+      this->AddLeaf(Shard(shard) + "-d", Shard(shard), "d");
+    }
+    this->delegates.domains = { "c", "d" };
+  }
+
+  std::size_t CountRemoteSent() const
+  {
+    return static_cast<std::size_t>(
+      std::count_if(this->exchange.sent.begin(), this->exchange.sent.end(), [](const std::string& aLeaf) {
+        return EndsWith(aLeaf, "-c") || EndsWith(aLeaf, "-d");
+      }));
+  }
+};
+
+} // namespace
+
+TEST_CASE("Shards without a leaf in this domain are run by one node next to their leafs", "[delegation]")
+{
+  DividedWorld world;
+  world.Ask("/all/x");
+  world.timers.RunFor(milliseconds(50));
+  REQUIRE(world.delegates.requests.size() == 1);
+  REQUIRE(world.delegates.requests[0].shards.size() == DividedWorld::kRemote);
+  REQUIRE(world.CountRemoteSent() == 0);
+  REQUIRE(world.replies.at(0).missing == 0);
+  REQUIRE(world.replies.at(0).signatures.size() == GatewayWorld::kShards);
+  REQUIRE(world.replies.at(0).records.substr(0, 16) == std::string(16, 'z'));
+}
+
+TEST_CASE("Another node is given less time than this one has", "[delegation][deadline]")
+{
+  DividedWorld world;
+  world.Ask("/all/x", milliseconds(700));
+  REQUIRE(world.delegates.requests.at(0).objective < milliseconds(120));
+  REQUIRE(world.delegates.requests.at(0).patience <= milliseconds(700));
+}
+
+TEST_CASE("When no node can run the parts, their leafs are asked directly", "[delegation]")
+{
+  DividedWorld world;
+  world.delegates.domains.clear();
+  world.Ask("/all/x");
+  world.timers.RunFor(milliseconds(50));
+  REQUIRE(world.CountRemoteSent() == DividedWorld::kRemote);
+  REQUIRE(world.replies.at(0).missing == 0);
+}
+
+TEST_CASE("When a node cannot be reached, its parts are asked for directly at once", "[delegation]")
+{
+  DividedWorld world;
+  world.delegates.fails = true;
+  world.delegates.sent = false;
+  world.Ask("/all/x");
+  world.timers.RunFor(milliseconds(60));
+  REQUIRE(world.replies.at(0).missing == 0);
+  REQUIRE(world.gateway->Stats().extraCalls == 0);
+}
+
+TEST_CASE("A node that went silent is given up in time for a direct answer", "[delegation][dark]")
+{
+  DividedWorld world;
+  // A budget that has been saved up by earlier requests.
+  for (int i = 0; i < 50; ++i) {
+    world.delegates.domains.clear();
+    world.Ask("/all/x");
+    world.timers.RunFor(milliseconds(50));
+  }
+  world.replies.clear();
+  world.delegates.domains = { "c", "d" };
+  world.delegates.after = kNever;
+  world.delegates.responsive = false;
+  const TimePoint start = world.clock.Now();
+  world.Ask("/all/x");
+  world.timers.RunFor(milliseconds(200));
+  REQUIRE(world.delegates.late == 1);
+  REQUIRE(world.replies.at(0).missing == 0);
+  REQUIRE(world.repliedAt - start < milliseconds(120));
+}
+
+TEST_CASE("A node that answers others is waited for, so that its leafs are not asked twice", "[delegation]")
+{
+  DividedWorld world;
+  world.delegates.after = milliseconds(95);
+  world.Ask("/all/x");
+  world.timers.RunFor(milliseconds(200));
+  REQUIRE(world.CountRemoteSent() == 0);
+  REQUIRE(world.delegates.cancelled == 0);
+  REQUIRE(world.replies.at(0).missing == 0);
+}
+
+TEST_CASE("A part that the other node lacks is asked for at a leaf that was not tried", "[delegation]")
+{
+  DividedWorld world;
+  for (int i = 0; i < 50; ++i) {
+    world.delegates.domains.clear();
+    world.Ask("/all/x");
+    world.timers.RunFor(milliseconds(50));
+  }
+  world.replies.clear();
+  world.delegates.domains = { "c", "d" };
+  world.delegates.missing = { { "shard3", { "shard3-c" } } };
+  const std::size_t before = world.exchange.CountSent("shard3-d");
+  const std::size_t other = world.exchange.CountSent("shard3-c");
+  world.Ask("/all/x");
+  world.timers.RunFor(milliseconds(100));
+  REQUIRE(world.exchange.CountSent("shard3-d") == before + 1);
+  REQUIRE(world.exchange.CountSent("shard3-c") == other);
+  REQUIRE(world.replies.at(0).missing == 0);
+}
+
+TEST_CASE("A part whose leafs were all tried by the other node is not asked for again",
+          "[delegation][attempts]")
+{
+  DividedWorld world;
+  world.delegates.missing = { { "shard3", { "shard3-c", "shard3-d" } } };
+  world.Ask("/all/x");
+  world.timers.RunFor(milliseconds(200));
+  REQUIRE(world.CountRemoteSent() == 0);
+  REQUIRE(world.replies.at(0).missing == 1);
+}
+
+TEST_CASE("When a caller leaves, other nodes stop too", "[delegation][gone]")
+{
+  DividedWorld world;
+  world.delegates.after = kNever;
+  const std::uint64_t handle = world.Ask("/all/x");
+  world.gateway->Abandon(handle);
+  REQUIRE(world.delegates.cancelled == 1);
+}
+
+TEST_CASE("A part of another node's query is answered at its objective with any coverage", "[delegation]")
+{
+  GatewayWorld world;
+  world.exchange.script = [](const std::string& aLeaf) {
+    FakeAnswer answer;
+    answer.after = aLeaf.rfind("shard3-", 0) == 0 ? kNever : milliseconds(10);
+    return answer;
+  };
+  PartsRequest request;
+  request.message = std::make_shared<ForwardedRequest>();
+  request.route = "scatter";
+  request.shards = { "shard2", "shard3", "unknown" };
+  request.attempts = 2;
+  request.topRecords = 3;
+  request.objective = milliseconds(60);
+  request.patience = milliseconds(500);
+  std::vector<PartsReply> replies;
+  world.gateway->StartParts(request, [&](const PartsReply& aReply) { replies.push_back(aReply); });
+  world.timers.RunFor(milliseconds(60));
+  REQUIRE(replies.size() == 1);
+  REQUIRE(replies[0].shards == std::vector<std::string>{ "shard2" });
+  REQUIRE(replies[0].missing.size() == 2);
+  REQUIRE_FALSE(replies[0].missing[0].triedLeafs.empty());
+  REQUIRE(replies[0].missing[1].triedLeafs.empty());
+  REQUIRE(world.delegates.requests.empty());
+}
+
 } // namespace yp
