Ask all shards directly again instead of through nodes next to their leafs

Conclusion: reverted; needs partial answers of the other node as they come, and a price of bytes as a setting.

--- a/src/framework/network/ihttpclient.h
+++ b/src/framework/network/ihttpclient.h
@@ -37,14 +37,10 @@
   ///   ("http.response"); kUnavailable when no connection could be made, so nothing was sent; kConnection
   ///   when the connection failed after that; kTimeout with step "http.connect" when nothing was sent, else
   ///   "http.response". It is not called after the client was destroyed.
-  /// \return number of the request, for Cancel
-  virtual std::uint64_t Send(const Endpoint& aEndpoint,
-                             HttpRequest aRequest,
-                             TimePoint aDeadline,
-                             Handler aHandler) = 0;
-
-  /// Ends a request without a call of its handler and closes its connection; does nothing when it has ended.
-  virtual void Cancel(std::uint64_t aRequest) = 0;
+  virtual void Send(const Endpoint& aEndpoint,
+                    HttpRequest aRequest,
+                    TimePoint aDeadline,
+                    Handler aHandler) = 0;
 };
 
 /// \param aContext must outlive the client
--- a/src/framework/network/internal/httpclient.cpp
+++ b/src/framework/network/internal/httpclient.cpp
@@ -72,8 +72,7 @@
   asio::io_context& context;
   HttpClientSettings settings;
   std::map<Endpoint, std::deque<IdleSocket>> idle; ///< most recently used last
-  std::map<std::uint64_t, Ref<Exchange>> running;
-  std::uint64_t lastNumber = 0;
+  std::set<Ref<Exchange>> running;
   bool closed = false;
 
 private:
@@ -93,13 +92,11 @@
 {
 public:
   Exchange(Ref<ClientCore> aCore,
-           std::uint64_t aNumber,
            Endpoint aEndpoint,
            HttpRequest aRequest,
            TimePoint aDeadline,
            IHttpClient::Handler aHandler)
     : core(std::move(aCore))
-    , number(aNumber)
     , endpoint(std::move(aEndpoint))
     , deadline(aDeadline)
     , handler(std::move(aHandler))
@@ -273,14 +270,13 @@
     const Ref<Exchange> self(this);
     const IHttpClient::Handler call = std::move(this->handler);
     this->Abandon();
-    this->core->running.erase(this->number);
+    this->core->running.erase(self);
     if (call) {
       call(std::move(aReply));
     }
   }
 
   Ref<ClientCore> core;
-  const std::uint64_t number;
   Endpoint endpoint;
   TimePoint deadline;
   IHttpClient::Handler handler;
@@ -309,40 +305,24 @@
   {
     this->core->closed = true;
     this->core->idle.clear();
-    const std::map<std::uint64_t, Ref<Exchange>> running = std::move(this->core->running);
+    const std::set<Ref<Exchange>> running = std::move(this->core->running);
     this->core->running.clear();
-    for (const auto& [number, exchange] : running) {
+    for (const Ref<Exchange>& exchange : running) {
       exchange->Abandon();
     }
   }
 
-  std::uint64_t Send(const Endpoint& aEndpoint,
-                     HttpRequest aRequest,
-                     TimePoint aDeadline,
-                     Handler aHandler) override
+  void Send(const Endpoint& aEndpoint, HttpRequest aRequest, TimePoint aDeadline, Handler aHandler) override
   {
-    const std::uint64_t number = ++this->core->lastNumber;
     const Ref<Exchange> exchange(
-      new Exchange(this->core, number, aEndpoint, std::move(aRequest), aDeadline, std::move(aHandler)));
-    this->core->running.emplace(number, exchange);
+      new Exchange(this->core, aEndpoint, std::move(aRequest), aDeadline, std::move(aHandler)));
+    this->core->running.insert(exchange);
     // Started later so that an early failure is not reported from within this call.
-    asio::post(this->core->context, [core = this->core, number, exchange] {
-      if (!core->closed && core->running.count(number) != 0) {
+    asio::post(this->core->context, [core = this->core, exchange] {
+      if (!core->closed) {
         exchange->Start();
       }
     });
-    return number;
-  }
-
-  void Cancel(std::uint64_t aRequest) override
-  {
-    const auto found = this->core->running.find(aRequest);
-    if (found == this->core->running.end()) {
-      return;
-    }
-    const Ref<Exchange> exchange = found->second;
-    this->core->running.erase(found);
-    exchange->Abandon();
   }
 
 private:
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -21,7 +21,6 @@
   ITimers& timers;
   const IClock& clock;
   IRandom& random;
-  IPartDelegates* delegates = nullptr; ///< null: all shards are asked directly
 };
 
 /// \return the gateway of one thread
--- a/src/gateway/igateway.h
+++ b/src/gateway/igateway.h
@@ -2,7 +2,6 @@
 #define YP_GATEWAY_IGATEWAY_H
 
 #include "gateway/ileafexchange.h"
-#include "gateway/ipartdelegates.h"
 #include "gateway/routingstate.h"
 #include <array>
 #include <atomic>
@@ -37,14 +36,12 @@
 struct GatewayReply
 {
   GatewayOutcome outcome = GatewayOutcome::kRefused;
-  HttpResponse response;                 ///< kPassed
-  std::vector<std::string> signatures;   ///< kMerged: of the parts that are in
-  std::vector<std::string> shards;       ///< kMerged: of the parts that are in, in the order of signatures
-  std::vector<MissingPart> missingParts; ///< kMerged: the shards that are left out
-  std::size_t missing = 0;               ///< kMerged: shards that are left out
-  std::string records;                   ///< kMerged: greatest first
-  Duration retryAfter{ 0 };              ///< kRefused: when the caller had better return
-  const char* reason = "";               ///< static text for logs
+  HttpResponse response;               ///< kPassed
+  std::vector<std::string> signatures; ///< kMerged: of the parts that are in
+  std::size_t missing = 0;             ///< kMerged: shards that are left out
+  std::string records;                 ///< kMerged: greatest first
+  Duration retryAfter{ 0 };            ///< kRefused: when the caller had better return
+  const char* reason = "";             ///< static text for logs
 };
 
 /// Settings of a gateway.
@@ -72,9 +69,6 @@
   std::atomic<std::uint64_t> extraRefused{ 0 }; ///< repeated calls that the budget did not allow
   std::atomic<std::uint64_t> partsMissing{ 0 };
   std::atomic<std::uint64_t> callersGone{ 0 };
-  std::atomic<std::uint64_t> partsDelegated{ 0 };    ///< shards that other nodes were asked for
-  std::atomic<std::uint64_t> delegationsFailed{ 0 }; ///< requests to other nodes without an answer in time
-  std::atomic<std::uint64_t> partsServed{ 0 };       ///< shards that other nodes asked for here
 };
 
 /// Serves callers' requests on one thread.
@@ -100,13 +94,6 @@
   /// \return handle for Abandon; 0 when it was answered within the call
   virtual std::uint64_t Start(GatewayRequest aRequest, Handler aHandler) = 0;
 
-  using PartsHandler = std::function<void(PartsReply)>;
-
-  /// Starts a part of another node's query.
-  /// \param aHandler called once unless the request is abandoned; may run within the call
-  /// \return handle for Abandon; 0 when it was answered within the call
-  virtual std::uint64_t StartParts(PartsRequest aRequest, PartsHandler aHandler) = 0;
-
   /// Ends a request whose caller has gone; leafs stop work on it.
   virtual void Abandon(std::uint64_t aHandle) = 0;
 
--- a/src/gateway/internal/extraloadshare.cpp
+++ b/src/gateway/internal/extraloadshare.cpp
@@ -31,10 +31,10 @@
 }
 
 void
-ExtraLoadShare::OnRequest(const std::string& aService, double aPart)
+ExtraLoadShare::OnRequest(const std::string& aService)
 {
   double& tokens = this->Bucket(aService);
-  tokens = std::min(this->capacity, tokens + this->ratio * aPart);
+  tokens = std::min(this->capacity, tokens + this->ratio);
 }
 
 bool
--- a/src/gateway/internal/extraloadshare.h
+++ b/src/gateway/internal/extraloadshare.h
@@ -19,8 +19,7 @@
   void SetShare(double aShare);
 
   /// Counts a caller's request for a service.
-  /// \param aPart the part of it that this node counts; less than 1 when another node counts the rest
-  void OnRequest(const std::string& aService, double aPart = 1);
+  void OnRequest(const std::string& aService);
 
   /// Takes one repeated request out of the budget.
   /// \return whether it may be sent
--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -61,8 +61,8 @@
     , random(aParts.random)
     , sender(aParts)
     , budget(aOptions.extraLoadRatio, aOptions.extraLoadSlack)
-    , context{ this->sender, aParts.leafs,  aParts.timers, aParts.clock,    aParts.random,
-               this->budget, this->options, this->stats,   aParts.delegates }
+    , context{ this->sender,  aParts.leafs, aParts.timers, aParts.clock,
+               aParts.random, this->budget, this->options, this->stats }
     , log(aParts.clock)
     , plain(this->context, this->Finished())
     , scatter(this->context, this->Finished())
@@ -111,36 +111,6 @@
     return this->Run(std::move(request), std::move(aHandler));
   }
 
-  std::uint64_t StartParts(PartsRequest aRequest, PartsHandler aHandler) override
-  {
-    const Ref<RoutingState> routing(new RoutingState);
-    RouteSpec& route = routing->routes.emplace_back();
-    route.name = aRequest.route;
-    route.objective = aRequest.objective;
-    route.timeout = aRequest.patience;
-    route.attempts = aRequest.attempts;
-    route.topRecords = aRequest.topRecords;
-    route.shards = std::move(aRequest.shards);
-    routing->version = this->routing ? this->routing->version : 0;
-    this->stats.partsServed += route.shards.size();
-    RunnerRequest request;
-    request.message = std::move(aRequest.message);
-    request.received = this->clock.Now();
-    request.routing = routing;
-    request.route = &route;
-    request.times = this->Times(route);
-    request.objective = request.received + aRequest.objective;
-    request.answerBy = request.objective;
-    request.deadline = request.received + aRequest.patience;
-    request.partial = true;
-    return this->Run(std::move(request), [handler = std::move(aHandler)](GatewayReply aReply) {
-      handler({ std::move(aReply.shards),
-                std::move(aReply.signatures),
-                std::move(aReply.missingParts),
-                std::move(aReply.records) });
-    });
-  }
-
   void Abandon(std::uint64_t aHandle) override
   {
     const auto found = this->handlers.find(aHandle);
@@ -171,24 +141,19 @@
   void SetTimes(RunnerRequest& aRequest, Duration aPatience)
   {
     const RouteSpec& route = *aRequest.route;
-    aRequest.times = this->Times(route);
+    Ref<RouteTimes>& times = this->times[route.name];
+    if (!times) {
+      times.reset(new RouteTimes(route.objective));
+    }
+    aRequest.times = times;
     const TimePoint now = aRequest.received;
-    const Duration waited = aRequest.times->NotePatience(aPatience, now);
+    const Duration waited = times->NotePatience(aPatience, now);
     const Duration objective = route.objective;
     aRequest.deadline = now + aPatience;
     aRequest.answerBy = now + std::min<Duration>(aPatience - kReturnMargin, route.timeout);
     aRequest.objective = now + objective - objective / kObjectiveMarginPart - kCallerPath - waited;
   }
 
-  Ref<RouteTimes> Times(const RouteSpec& aRoute)
-  {
-    Ref<RouteTimes>& times = this->times[aRoute.name];
-    if (!times) {
-      times.reset(new RouteTimes(aRoute.objective));
-    }
-    return times;
-  }
-
   std::uint64_t Run(RunnerRequest aRequest, Handler aHandler)
   {
     const std::uint64_t handle = ++this->lastHandle;
@@ -221,24 +186,17 @@
              std::uint32_t aExtraCalls)
   {
     const Duration elapsed = this->clock.Now() - aRequest.received;
-    this->log.Write(aRequest, aReply, aExtraCalls, elapsed);
-    if (!aRequest.partial) {
-      this->Count(aReply, elapsed);
-    }
-    aHandler(std::move(aReply));
-  }
-
-  void Count(const GatewayReply& aReply, Duration aElapsed)
-  {
     ++this->stats.outcomes[static_cast<std::size_t>(aReply.outcome)];
-    this->stats.latencySumNs += static_cast<std::uint64_t>(aElapsed.count());
+    this->stats.latencySumNs += static_cast<std::uint64_t>(elapsed.count());
     std::size_t bucket = 0;
     double bound = kFirstLatencyBoundNs;
-    while (bucket + 1 < kGatewayLatencyBuckets && static_cast<double>(aElapsed.count()) > bound) {
+    while (bucket + 1 < kGatewayLatencyBuckets && static_cast<double>(elapsed.count()) > bound) {
       bound *= 2;
       ++bucket;
     }
     ++this->stats.latency[bucket];
+    this->log.Write(aRequest, aReply, aExtraCalls, elapsed);
+    aHandler(std::move(aReply));
   }
 
   const GatewayOptions options;
--- a/src/gateway/internal/requestlog.h
+++ b/src/gateway/internal/requestlog.h
@@ -32,7 +32,6 @@
              { { "id", aRequest.message->id },
                { "outcome", ToString(aReply.outcome) },
                { "reason", aReply.reason },
-               { "for", aRequest.partial ? "node" : "caller" },
                { "route", aRequest.route != nullptr ? aRequest.route->name : "" },
                { "version", aRequest.routing ? aRequest.routing->version : 0 },
                { "missing", aReply.missing },
--- a/src/gateway/internal/runnercontext.h
+++ b/src/gateway/internal/runnercontext.h
@@ -21,7 +21,6 @@
   ExtraLoadShare& budget;
   const GatewayOptions& options;
   GatewayStats& stats;
-  IPartDelegates* delegates;
 
   /// Takes a repeated request out of the budget and counts it.
   bool TrySpend(const std::string& aService)
@@ -44,10 +43,9 @@
   const RouteSpec* route = nullptr;
   Ref<RouteTimes> times;
   TimePoint received;
-  TimePoint objective;  ///< latest time of an answer with full value
-  TimePoint answerBy;   ///< latest time of any answer
-  TimePoint deadline;   ///< the caller no longer waits after it
-  bool partial = false; ///< part of another node's query: answers at its objective with any coverage
+  TimePoint objective; ///< latest time of an answer with full value
+  TimePoint answerBy;  ///< latest time of any answer
+  TimePoint deadline;  ///< the caller no longer waits after it
 };
 
 /// Called once with a request's answer, never from within Start.
--- a/src/gateway/internal/scatterrunner.cpp
+++ b/src/gateway/internal/scatterrunner.cpp
@@ -14,14 +14,6 @@
 // A shard without leafs comes back with a new registration or the end of a leaf's exclusion.
 constexpr Duration kShardsRetry = std::chrono::milliseconds(250);
 constexpr double kRounding = 1e-9;
-// With fewer shards the exchange between the nodes costs as much as the answers of the leafs.
-constexpr std::size_t kLeastDelegated = 4;
-// Part of a request's extra load that the other node may cause; this one keeps the rest for what comes back
-// missing.
-constexpr double kDelegateBudget = 0.6;
-// Way between two nodes of a region and back, and the wait of both for a turn on a part of a core.
-constexpr Duration kLeastDelegationTime = std::chrono::milliseconds(60);
-constexpr Duration kDelegateMargin = std::chrono::milliseconds(12);
 
 } // namespace
 
@@ -38,232 +30,30 @@
   const TimePoint now = this->context.clock.Now();
   std::size_t usable = 0;
   for (const std::string& shard : route.shards) {
+    this->context.budget.OnRequest(shard);
     usable += HasUsableLeaf(this->context.leafs.Leafs(shard), now) ? 1 : 0;
   }
   const double share = route.minCoverage * static_cast<double>(route.shards.size());
   const std::size_t needed = std::max<std::size_t>(1, static_cast<std::size_t>(std::ceil(share - kRounding)));
-  if (usable < needed && !aRequest.partial) {
+  if (usable < needed) {
     return Refusal("shards_unreachable", kShardsRetry, this->context.random);
   }
   auto owned = std::make_unique<Run>(route.topRecords);
   Run& run = *owned;
   run.request = std::move(aRequest);
-  run.needed = run.request.partial ? 0 : needed;
+  run.needed = needed;
   run.parts.resize(route.shards.size());
   this->runs.emplace(run.request.handle, std::move(owned));
-  for (const std::size_t part : this->Delegate(run, now)) {
-    this->SendOrFail(run, part, Purpose::kFirst);
+  for (std::size_t part = 0; part < run.parts.size(); ++part) {
+    if (!this->Send(run, part, Purpose::kFirst)) {
+      run.parts[part].failed = true;
+      ++run.failedCount;
+    }
   }
   this->Arm(run, now);
   return std::nullopt;
 }
 
-void
-ScatterRunner::SendOrFail(Run& aRun, std::size_t aPart, Purpose aPurpose)
-{
-  if (this->Send(aRun, aPart, aPurpose)) {
-    return;
-  }
-  aRun.parts[aPart].failed = true;
-  ++aRun.failedCount;
-}
-
-std::vector<std::size_t>
-ScatterRunner::Delegate(Run& aRun, TimePoint aNow)
-{
-  std::vector<bool> delegated(aRun.parts.size(), false);
-  const bool timeEnough = aRun.request.objective - aNow >= kLeastDelegationTime;
-  const bool wanted = this->context.delegates != nullptr && !aRun.request.partial && timeEnough;
-  const auto lead = std::chrono::duration_cast<Duration>(aRun.request.times->Typical() * kHedgeLeadFactor);
-  aRun.fallbackAt = aRun.request.objective - lead;
-  Candidates candidates = wanted ? this->RemoteParts(aRun, aNow) : Candidates();
-  while (!candidates.empty()) {
-    const auto most =
-      std::max_element(candidates.begin(), candidates.end(), [](const auto& aLeft, const auto& aRight) {
-        return aLeft.second.size() < aRight.second.size();
-      });
-    const std::string domain = most->first;
-    const std::vector<std::size_t> parts = std::move(most->second);
-    candidates.erase(most);
-    if (parts.size() < kLeastDelegated) {
-      break;
-    }
-    if (!this->SendDelegation(aRun, domain, parts, aNow)) {
-      continue;
-    }
-    for (const std::size_t part : parts) {
-      delegated[part] = true;
-    }
-    for (auto& [other, rest] : candidates) {
-      rest.erase(
-        std::remove_if(rest.begin(), rest.end(), [&](std::size_t aPart) { return delegated[aPart]; }),
-        rest.end());
-    }
-  }
-  std::vector<std::size_t> direct;
-  for (std::size_t part = 0; part < aRun.parts.size(); ++part) {
-    if (!delegated[part]) {
-      direct.push_back(part);
-    }
-  }
-  return direct;
-}
-
-ScatterRunner::Candidates
-ScatterRunner::RemoteParts(const Run& aRun, TimePoint aNow) const
-{
-  Candidates candidates;
-  for (std::size_t part = 0; part < aRun.parts.size(); ++part) {
-    std::set<std::string> domains;
-    for (const Ref<LeafHandle>& leaf : this->context.leafs.Leafs(aRun.request.route->shards[part])) {
-      if (leaf->Open() && !leaf->condition.Excluded(aNow) && !leaf->condition.Silent(aNow)) {
-        domains.insert(leaf->spec.failureDomain);
-      }
-    }
-    if (domains.count(this->context.options.failureDomain) != 0) {
-      continue;
-    }
-    for (const std::string& domain : domains) {
-      candidates[domain].push_back(part);
-    }
-  }
-  return candidates;
-}
-
-bool
-ScatterRunner::SendDelegation(Run& aRun,
-                              const std::string& aDomain,
-                              const std::vector<std::size_t>& aParts,
-                              TimePoint aNow)
-{
-  using std::chrono::milliseconds;
-  const RouteSpec& route = *aRun.request.route;
-  PartsRequest request;
-  request.message = aRun.request.message;
-  request.route = route.name;
-  for (const std::size_t part : aParts) {
-    request.shards.push_back(route.shards[part]);
-    this->context.budget.OnRequest(route.shards[part], 1 - kDelegateBudget);
-  }
-  request.attempts = route.attempts;
-  request.topRecords = route.topRecords;
-  request.objective = std::chrono::duration_cast<milliseconds>(aRun.fallbackAt - kDelegateMargin - aNow);
-  request.patience = std::chrono::duration_cast<milliseconds>(aRun.request.deadline - aNow);
-  const std::size_t index = aRun.delegations.size();
-  const std::uint64_t number = this->context.delegates->Send(
-    aDomain, request, [this, handle = aRun.request.handle, index](IPartDelegates::Result aResult) {
-      this->OnDelegated(handle, index, std::move(aResult));
-    });
-  if (number == 0) {
-    return false;
-  }
-  this->context.stats.partsDelegated += aParts.size();
-  aRun.delegations.push_back({ number, aParts });
-  return true;
-}
-
-void
-ScatterRunner::OnDelegated(std::uint64_t aHandle, std::size_t aDelegation, IPartDelegates::Result aResult)
-{
-  const auto found = this->runs.find(aHandle);
-  if (found == this->runs.end()) {
-    return;
-  }
-  Run& run = *found->second;
-  Delegation& delegation = run.delegations[aDelegation];
-  delegation.number = 0;
-  if (aResult.reply) {
-    this->MergeDelegated(run, delegation.parts, *aResult.reply);
-  } else {
-    ++this->context.stats.delegationsFailed;
-    this->AskDirectly(run, delegation.parts, aResult.sent ? Purpose::kExtra : Purpose::kUnsent);
-  }
-  const TimePoint now = this->context.clock.Now();
-  if (!this->Decide(run, now)) {
-    this->Arm(run, now);
-  }
-}
-
-void
-ScatterRunner::MergeDelegated(Run& aRun, const std::vector<std::size_t>& aParts, const PartsReply& aReply)
-{
-  const std::vector<std::string>& shards = aRun.request.route->shards;
-  for (const std::size_t index : aParts) {
-    Part& part = aRun.parts[index];
-    const auto in = std::find(aReply.shards.begin(), aReply.shards.end(), shards[index]);
-    if (in != aReply.shards.end()) {
-      part.signature = aReply.signatures[static_cast<std::size_t>(in - aReply.shards.begin())];
-      const bool fresh = aRun.signatures.insert(part.signature).second;
-      YP_INVARIANT(fresh, "gateway.one_signature_a_part", part.signature);
-      part.merged = true;
-      ++aRun.mergedCount;
-    }
-  }
-  aRun.merge.Add(aReply.records);
-  for (const std::size_t index : aParts) {
-    if (!aRun.parts[index].merged) {
-      this->AskMissing(aRun, index, aReply.missing);
-    }
-  }
-}
-
-/// Asks for a part that another node has not got, at a leaf that was not tried.
-void
-ScatterRunner::AskMissing(Run& aRun, std::size_t aPart, const std::vector<MissingPart>& aMissing)
-{
-  const std::string& shard = aRun.request.route->shards[aPart];
-  Part& part = aRun.parts[aPart];
-  for (const MissingPart& missing : aMissing) {
-    for (const Ref<LeafHandle>& leaf : this->context.leafs.Leafs(shard)) {
-      const std::vector<std::string>& tried = missing.triedLeafs;
-      if (missing.shard == shard && std::find(tried.begin(), tried.end(), leaf->spec.id) != tried.end()) {
-        part.used.push_back(leaf.get());
-        part.usedRefs.push_back(leaf);
-        ++part.mayHaveRun;
-      }
-    }
-  }
-  const bool allowed = part.mayHaveRun < aRun.request.route->attempts;
-  const Purpose purpose = part.used.empty() ? Purpose::kUnsent : Purpose::kExtra;
-  if (!allowed || !this->Send(aRun, aPart, purpose)) {
-    part.failed = true;
-    ++aRun.failedCount;
-  }
-}
-
-void
-ScatterRunner::AskDirectly(Run& aRun, const std::vector<std::size_t>& aParts, Purpose aPurpose)
-{
-  for (const std::size_t part : aParts) {
-    this->SendOrFail(aRun, part, aPurpose);
-  }
-}
-
-void
-ScatterRunner::FallBack(Run& aRun)
-{
-  for (Delegation& delegation : aRun.delegations) {
-    if (delegation.number != 0 && !this->context.delegates->Responsive(delegation.number)) {
-      // The answers of both ways could not be told apart, so the other node's is given up.
-      this->context.delegates->Cancel(delegation.number, true);
-      delegation.number = 0;
-      ++this->context.stats.delegationsFailed;
-      this->AskDirectly(aRun, delegation.parts, Purpose::kExtra);
-    }
-  }
-}
-
-void
-ScatterRunner::CancelDelegations(Run& aRun, bool aLate)
-{
-  for (Delegation& delegation : aRun.delegations) {
-    if (delegation.number != 0) {
-      this->context.delegates->Cancel(delegation.number, aLate);
-      delegation.number = 0;
-    }
-  }
-}
-
 bool
 ScatterRunner::Send(Run& aRun, std::size_t aPart, Purpose aPurpose)
 {
@@ -281,10 +71,7 @@
     return false;
   }
   aRun.extra += extra ? 1 : 0;
-  if (aPurpose == Purpose::kFirst) {
-    ++this->context.stats.firstCalls;
-    this->context.budget.OnRequest(shard, aRun.request.partial ? kDelegateBudget : 1);
-  }
+  this->context.stats.firstCalls += aPurpose == Purpose::kFirst ? 1 : 0;
   part.used.push_back(leaf);
   part.usedRefs.emplace_back(leaf);
   part.sentAt = now;
@@ -332,7 +119,6 @@
     return false;
   }
   aRun.merge.Add(aResult.response.body);
-  aPart.signature = aResult.signature;
   aPart.merged = true;
   ++aRun.mergedCount;
   aRun.failedCount -= aPart.failed ? 1 : 0;
@@ -394,10 +180,11 @@
 ScatterRunner::Decide(Run& aRun, TimePoint aNow)
 {
   const std::size_t total = aRun.parts.size();
-  const bool settled = aRun.mergedCount + aRun.failedCount == total;
-  if ((settled || aNow >= aRun.request.objective) && aRun.mergedCount >= aRun.needed) {
-    this->Answer(aRun);
-    return true;
+  if (aRun.mergedCount + aRun.failedCount == total || aNow >= aRun.request.objective) {
+    if (aRun.mergedCount >= aRun.needed) {
+      this->Answer(aRun);
+      return true;
+    }
   }
   if (total - aRun.failedCount < aRun.needed) {
     this->Fail(aRun, GatewayOutcome::kFailed, "coverage_out_of_reach");
@@ -414,15 +201,6 @@
 ScatterRunner::Arm(Run& aRun, TimePoint aNow)
 {
   TimePoint wake = aRun.request.answerBy;
-  if (aRun.mergedCount + aRun.failedCount == aRun.parts.size()) {
-    wake = aNow;
-  }
-  const bool delegated = std::any_of(aRun.delegations.begin(),
-                                     aRun.delegations.end(),
-                                     [](const Delegation& aOther) { return aOther.number != 0; });
-  if (delegated && aRun.fallbackAt > aNow) {
-    wake = std::min(wake, aRun.fallbackAt);
-  }
   if (aRun.request.objective > aNow) {
     wake = std::min(wake, aRun.request.objective);
   }
@@ -452,9 +230,6 @@
   if (this->Decide(run, now)) {
     return;
   }
-  if (now >= run.fallbackAt) {
-    this->FallBack(run);
-  }
   this->Hedge(run, now);
   this->Arm(run, now);
 }
@@ -467,20 +242,7 @@
   GatewayReply reply;
   reply.outcome = GatewayOutcome::kMerged;
   reply.reason = aRun.mergedCount == aRun.parts.size() ? "complete" : "partial";
-  for (std::size_t i = 0; i < aRun.parts.size(); ++i) {
-    const Part& part = aRun.parts[i];
-    const std::string& shard = aRun.request.route->shards[i];
-    if (part.merged) {
-      reply.signatures.push_back(part.signature);
-      reply.shards.push_back(shard);
-    } else {
-      MissingPart& missing = reply.missingParts.emplace_back();
-      missing.shard = shard;
-      for (const Ref<LeafHandle>& leaf : part.usedRefs) {
-        missing.triedLeafs.push_back(leaf->spec.id);
-      }
-    }
-  }
+  reply.signatures.assign(aRun.signatures.begin(), aRun.signatures.end());
   reply.missing = aRun.parts.size() - aRun.mergedCount;
   reply.records = aRun.merge.Take();
   this->context.stats.partsMissing += reply.missing;
@@ -504,7 +266,6 @@
   const std::unique_ptr<Run> run = std::move(found->second);
   this->runs.erase(found);
   this->context.timers.Cancel(run->timer);
-  this->CancelDelegations(*run, false);
   for (const Part& part : run->parts) {
     for (const std::uint64_t call : part.calls) {
       this->context.sender.Release(call);
@@ -523,7 +284,6 @@
   const std::unique_ptr<Run> run = std::move(found->second);
   this->runs.erase(found);
   this->context.timers.Cancel(run->timer);
-  this->CancelDelegations(*run, false);
   for (const Part& part : run->parts) {
     for (const std::uint64_t call : part.calls) {
       this->context.sender.Cancel(call);
--- a/src/gateway/internal/scatterrunner.h
+++ b/src/gateway/internal/scatterrunner.h
@@ -36,14 +36,6 @@
     bool failed = false;
     bool hedged = false;
     TimePoint sentAt;
-    std::string signature; ///< of the answer that was merged
-  };
-
-  /// Parts that another node runs.
-  struct Delegation
-  {
-    std::uint64_t number = 0; ///< at the delegates; 0 when it has ended
-    std::vector<std::size_t> parts;
   };
 
   struct Run
@@ -55,8 +47,6 @@
 
     RunnerRequest request;
     std::vector<Part> parts; ///< in the order of the route's shards
-    std::vector<Delegation> delegations;
-    TimePoint fallbackAt; ///< when parts that other nodes run are asked for directly
     RecordMerge merge;
     std::set<std::string> signatures;
     std::size_t mergedCount = 0;
@@ -67,8 +57,6 @@
     TimePoint timerAt;
   };
 
-  using Candidates = std::map<std::string, std::vector<std::size_t>>;
-
   enum class Purpose
   {
     kFirst,
@@ -80,22 +68,6 @@
   void OnResult(std::uint64_t aHandle, std::size_t aPart, std::uint64_t aCall, LeafResult aResult);
   bool Merge(Run& aRun, Part& aPart, const LeafResult& aResult);
   void OnUnanswered(Run& aRun, std::size_t aPart, const LeafResult& aResult);
-  void SendOrFail(Run& aRun, std::size_t aPart, Purpose aPurpose);
-
-  /// Hands parts without a leaf in this domain to nodes of other domains.
-  /// \return the parts that remain
-  std::vector<std::size_t> Delegate(Run& aRun, TimePoint aNow);
-  Candidates RemoteParts(const Run& aRun, TimePoint aNow) const;
-  bool SendDelegation(Run& aRun,
-                      const std::string& aDomain,
-                      const std::vector<std::size_t>& aParts,
-                      TimePoint aNow);
-  void OnDelegated(std::uint64_t aHandle, std::size_t aDelegation, IPartDelegates::Result aResult);
-  void MergeDelegated(Run& aRun, const std::vector<std::size_t>& aParts, const PartsReply& aReply);
-  void AskMissing(Run& aRun, std::size_t aPart, const std::vector<MissingPart>& aMissing);
-  void AskDirectly(Run& aRun, const std::vector<std::size_t>& aParts, Purpose aPurpose);
-  void FallBack(Run& aRun);
-  void CancelDelegations(Run& aRun, bool aLate);
   void Hedge(Run& aRun, TimePoint aNow);
   TimePoint HedgeAt(const Run& aRun, const Part& aPart) const;
 
--- a/src/gateway/tests/fakeexchange.h
+++ b/src/gateway/tests/fakeexchange.h
@@ -4,7 +4,6 @@
 #include "framework/global/tests/faketimers.h"
 #include "gateway/gateway.h"
 #include <functional>
-#include <set>
 
 namespace yp {
 
@@ -82,84 +81,6 @@
   FakeTimers& timers;
 };
 
-/// Other nodes in virtual time: a request is answered with all shards but those that the script leaves out.
-class FakeDelegates final : public IPartDelegates
-{
-public:
-  FakeDelegates(ManualClock& aClock, FakeTimers& aTimers)
-    : clock(aClock)
-    , timers(aTimers)
-  {
-  }
-
-  std::uint64_t Send(const std::string& aDomain, const PartsRequest& aRequest, Handler aHandler) override
-  {
-    if (this->domains.count(aDomain) == 0) {
-      return 0;
-    }
-    const std::uint64_t number = ++this->lastNumber;
-    this->requests.push_back(aRequest);
-    if (this->after < Duration::zero()) {
-      this->open.emplace(number, 0);
-      return number;
-    }
-    const TimerId timer =
-      this->timers.At(this->clock.Now() + this->after, [this, number, aRequest, aHandler] {
-        this->open.erase(number);
-        aHandler({ this->fails ? std::nullopt : std::make_optional(this->Reply(aRequest)), this->sent });
-      });
-    this->open.emplace(number, timer);
-    return number;
-  }
-
-  bool Responsive(std::uint64_t) const override { return this->responsive; }
-
-  void Cancel(std::uint64_t aNumber, bool aLate) override
-  {
-    const auto found = this->open.find(aNumber);
-    if (found == this->open.end()) {
-      return;
-    }
-    this->timers.Cancel(found->second);
-    this->open.erase(found);
-    ++this->cancelled;
-    this->late += aLate ? 1 : 0;
-  }
-
-  std::set<std::string> domains;                  ///< failure domains with a node that can be asked
-  Duration after = std::chrono::milliseconds(12); ///< negative: never
-  bool fails = false;
-  bool sent = true;
-  bool responsive = true;
-  std::map<std::string, std::vector<std::string>>
-    missing; ///< shards that are not answered, and the leafs tried
-  std::vector<PartsRequest> requests;
-  std::map<std::uint64_t, TimerId> open;
-  std::size_t cancelled = 0;
-  std::size_t late = 0;
-
-private:
-  PartsReply Reply(const PartsRequest& aRequest) const
-  {
-    PartsReply reply;
-    for (const std::string& shard : aRequest.shards) {
-      const auto left = this->missing.find(shard);
-      if (left != this->missing.end()) {
-        reply.missing.push_back({ shard, left->second });
-        continue;
-      }
-      reply.shards.push_back(shard);
-      reply.signatures.push_back("delegated." + shard + std::to_string(this->lastNumber));
-    }
-    reply.records = std::string(16, 'z');
-    return reply;
-  }
-
-  ManualClock& clock;
-  FakeTimers& timers;
-  std::uint64_t lastNumber = 0;
-};
-
 /// A gateway over fake leafs, with a route of each kind.
 struct GatewayWorld
 {
@@ -169,8 +90,8 @@
   {
     GatewayOptions options;
     options.failureDomain = "a";
-    this->gateway = MakeGateway(
-      { this->exchange, this->leafs, this->timers, this->clock, this->random, &this->delegates }, options);
+    this->gateway =
+      MakeGateway({ this->exchange, this->leafs, this->timers, this->clock, this->random }, options);
     this->gateway->SetExtraLoadShare(1);
     this->gateway->SetRouting(this->MakeRouting(1));
     for (std::size_t shard = 0; shard < kShards; ++shard) {
@@ -246,7 +167,6 @@
   FakeTimers timers{ clock };
   SeededRandom random{ 7 };
   FakeExchange exchange{ clock, timers };
-  FakeDelegates delegates{ clock, timers };
   LeafDirectory leafs{ clock };
   std::unique_ptr<IGateway> gateway;
   std::vector<GatewayReply> replies;
