Log each repeated or unanswered leaf call with what decided it

From a request's id to its cause one line was missing: which leafs were asked, what they answered, and whether they were avoided afterwards.

--- a/src/gateway/internal/callsender.cpp
+++ b/src/gateway/internal/callsender.cpp
@@ -1,4 +1,5 @@
 #include "gateway/internal/callsender.h"
+#include <algorithm>
 #include <vector>
 
 namespace yp {
@@ -11,10 +12,11 @@
 
 } // namespace
 
-CallSender::CallSender(const GatewayParts& aParts)
+CallSender::CallSender(const GatewayParts& aParts, LogBudget& aLog)
   : exchange(aParts.exchange)
   , timers(aParts.timers)
   , clock(aParts.clock)
+  , log(aLog)
 {
 }
 
@@ -24,7 +26,7 @@
 }
 
 std::uint64_t
-CallSender::Send(LeafCall aCall, Ref<RouteTimes> aTimes, Handler aHandler)
+CallSender::Send(LeafCall aCall, Ref<RouteTimes> aTimes, bool aRepeated, Handler aHandler)
 {
   const std::uint64_t id = ++this->lastId;
   auto owned = std::make_unique<Call>();
@@ -33,6 +35,8 @@
   call.leaf = aCall.leaf;
   call.times = std::move(aTimes);
   call.expected = call.times->Typical();
+  call.request = aCall.request;
+  call.repeated = aRepeated;
   call.handler = std::move(aHandler);
   call.leaf->condition.OnSend(call, this->clock.Now());
   this->calls.emplace(id, std::move(owned));
@@ -79,7 +83,9 @@
   this->calls.erase(found);
   this->released -= call->handler ? 0 : 1;
   call->unlink();
-  call->leaf->condition.OnUnreachable(this->clock.Now());
+  const TimePoint now = this->clock.Now();
+  call->leaf->condition.OnUnreachable(now);
+  this->Log(*call, "no_answer", now - call->sentAt, {});
   this->exchange.Expire(aCall);
 }
 
@@ -94,6 +100,9 @@
   this->calls.erase(found);
   call->unlink();
   this->Learn(*call, aResult);
+  if (aResult.outcome != LeafOutcome::kAnswered || call->repeated) {
+    this->Log(*call, ToString(aResult.outcome), this->clock.Now() - call->sentAt, aResult.error);
+  }
   if (!call->handler) {
     --this->released;
     return;
@@ -125,6 +134,33 @@
   }
 }
 
+void
+CallSender::Log(const Call& aCall, const char* aOutcome, Duration aElapsed, const Error& aError)
+{
+  if (!this->log.Take(true)) {
+    return;
+  }
+  const LeafCondition& condition = aCall.leaf->condition;
+  const TimePoint now = this->clock.Now();
+  const auto milliseconds = [](Duration aTime) {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(aTime).count();
+  };
+  LogEvent(
+    LogLevel::kInfo,
+    "leaf_call",
+    { { "id", aCall.request->id },
+      { "leaf", aCall.leaf->spec.id },
+      { "service", aCall.leaf->spec.service },
+      { "outcome", aOutcome },
+      { "repeated", aCall.repeated ? 1 : 0 },
+      { "wanted", aCall.handler ? 1 : 0 },
+      { "elapsed_ms", milliseconds(aElapsed) },
+      { "in_flight", condition.InFlight() },
+      { "excluded_ms", milliseconds(std::max(Duration::zero(), Duration(condition.ExcludedUntil() - now))) },
+      { "step", aError.step },
+      { "detail", aError.detail } });
+}
+
 void
 CallSender::ArmSweep()
 {
--- a/src/gateway/internal/callsender.h
+++ b/src/gateway/internal/callsender.h
@@ -2,6 +2,7 @@
 #define YP_GATEWAY_INTERNAL_CALLSENDER_H
 
 #include "gateway/gateway.h"
+#include "gateway/internal/logbudget.h"
 #include "gateway/internal/routetimes.h"
 #include <unordered_map>
 
@@ -14,16 +15,18 @@
 public:
   using Handler = std::function<void(std::uint64_t, LeafResult)>;
 
-  explicit CallSender(const GatewayParts& aParts);
+  /// \param aLog outlives the sender
+  CallSender(const GatewayParts& aParts, LogBudget& aLog);
   ~CallSender();
   CallSender(const CallSender&) = delete;
   CallSender& operator=(const CallSender&) = delete;
 
   /// \param aCall call without an id
   /// \param aTimes of the route; learns from the answer
+  /// \param aRepeated another leaf got the request before
   /// \param aHandler called once with the call's id, unless the call is released or cancelled
   /// \return the call's id
-  std::uint64_t Send(LeafCall aCall, Ref<RouteTimes> aTimes, Handler aHandler);
+  std::uint64_t Send(LeafCall aCall, Ref<RouteTimes> aTimes, bool aRepeated, Handler aHandler);
 
   /// Gives up interest in a call; it is cancelled when it does not end soon.
   void Release(std::uint64_t aCall);
@@ -40,18 +43,22 @@
     std::uint64_t id = 0;
     Ref<LeafHandle> leaf;
     Ref<RouteTimes> times;
+    std::shared_ptr<const ForwardedRequest> request;
+    bool repeated = false;
     Handler handler;
     TimePoint releasedAt;
   };
 
   void OnResult(std::uint64_t aCall, LeafResult aResult);
   void Learn(Call& aCall, const LeafResult& aResult);
+  void Log(const Call& aCall, const char* aOutcome, Duration aElapsed, const Error& aError);
   void Sweep();
   void ArmSweep();
 
   ILeafExchange& exchange;
   ITimers& timers;
   const IClock& clock;
+  LogBudget& log;
   std::uint64_t lastId = 0;
   std::unordered_map<std::uint64_t, std::unique_ptr<Call>> calls;
   std::size_t released = 0;
--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -59,11 +59,11 @@
     , exchange(aParts.exchange)
     , clock(aParts.clock)
     , random(aParts.random)
-    , sender(aParts)
+    , log(aParts.clock)
+    , sender(aParts, this->log)
     , budget(aOptions.extraLoadRatio, aOptions.extraLoadSlack)
     , context{ this->sender,  aParts.leafs, aParts.timers, aParts.clock,
                aParts.random, this->budget, this->options, this->stats }
-    , log(aParts.clock)
     , plain(this->context, this->Finished())
     , scatter(this->context, this->Finished())
   {
@@ -195,7 +195,7 @@
       ++bucket;
     }
     ++this->stats.latency[bucket];
-    this->log.Write(aRequest, aReply, aExtraCalls, elapsed);
+    LogRequest(this->log, aRequest, aReply, aExtraCalls, elapsed);
     aHandler(std::move(aReply));
   }
 
@@ -204,10 +204,10 @@
   const IClock& clock;
   IRandom& random;
   GatewayStats stats;
+  LogBudget log;
   CallSender sender;
   ExtraLoadShare budget;
   RunnerContext context;
-  RequestLog log;
   PlainRunner plain;
   ScatterRunner scatter;
   SplitTurns splits;
--- a/src/gateway/internal/plainrunner.cpp
+++ b/src/gateway/internal/plainrunner.cpp
@@ -67,6 +67,7 @@
   aRun.calls.push_back(
     this->context.sender.Send(std::move(call),
                               aRun.request.times,
+                              aPurpose != Purpose::kFirst,
                               [this, handle = aRun.request.handle](std::uint64_t aCall, LeafResult aResult) {
                                 this->OnResult(handle, aCall, std::move(aResult));
                               }));
--- a/src/gateway/internal/scatterrunner.cpp
+++ b/src/gateway/internal/scatterrunner.cpp
@@ -83,6 +83,7 @@
   part.calls.push_back(this->context.sender.Send(
     std::move(call),
     aRun.request.times,
+    aPurpose != Purpose::kFirst,
     [this, handle = aRun.request.handle, aPart](std::uint64_t aCall, LeafResult aResult) {
       this->OnResult(handle, aPart, aCall, std::move(aResult));
     }));
