Do not prolong a leaf's exclusion by calls sent before it

Ruled out: a dead leaf (it answered later calls). Refusals of a query now say how many shards are out of reach.

--- a/src/gateway/internal/callsender.cpp
+++ b/src/gateway/internal/callsender.cpp
@@ -84,7 +84,7 @@
   this->released -= call->handler ? 0 : 1;
   call->unlink();
   const TimePoint now = this->clock.Now();
-  call->leaf->condition.OnUnreachable(now);
+  call->leaf->condition.OnUnreachable(call->sentAt, now);
   this->Log(*call, "no_answer", now - call->sentAt, {});
   this->exchange.Expire(aCall);
 }
@@ -129,7 +129,7 @@
       return;
     case LeafOutcome::kNotSent:
     case LeafOutcome::kLost:
-      condition.OnUnreachable(now);
+      condition.OnUnreachable(aCall.sentAt, now);
       return;
   }
 }
--- a/src/gateway/internal/leafcondition.cpp
+++ b/src/gateway/internal/leafcondition.cpp
@@ -69,14 +69,18 @@
 }
 
 void
-LeafCondition::OnUnreachable(TimePoint aNow)
+LeafCondition::OnUnreachable(TimePoint aSentAt, TimePoint aNow)
 {
+  if (aSentAt <= this->excludedAt) {
+    return;
+  }
   ++this->failures;
   this->probing = false;
   if (this->failures < kFailuresToExclude) {
     return;
   }
   const std::uint32_t doublings = std::min(this->failures - kFailuresToExclude, kMaxExclusionDoublings);
+  this->excludedAt = aNow;
   this->excludedUntil = aNow + kFirstExclusion * (1U << doublings);
 }
 
--- a/src/gateway/internal/scatterrunner.cpp
+++ b/src/gateway/internal/scatterrunner.cpp
@@ -36,7 +36,9 @@
   const double share = route.minCoverage * static_cast<double>(route.shards.size());
   const std::size_t needed = std::max<std::size_t>(1, static_cast<std::size_t>(std::ceil(share - kRounding)));
   if (usable < needed) {
-    return Refusal("shards_unreachable", kShardsRetry, this->context.random);
+    GatewayReply refusal = Refusal("shards_unreachable", kShardsRetry, this->context.random);
+    refusal.missing = route.shards.size() - usable;
+    return refusal;
   }
   auto owned = std::make_unique<Run>(route.topRecords);
   Run& run = *owned;
--- a/src/gateway/leafdirectory.h
+++ b/src/gateway/leafdirectory.h
@@ -44,8 +44,9 @@
   /// The leaf refused or failed a request.
   void OnRefusal(TimePoint aNow);
 
-  /// The leaf did not answer, could not be reached, or broke off.
-  void OnUnreachable(TimePoint aNow);
+  /// The leaf did not answer, could not be reached, or broke off. Calls sent before an exclusion began do not
+  /// make it longer.
+  void OnUnreachable(TimePoint aSentAt, TimePoint aNow);
 
   /// A call was given up by this node, which says nothing of the leaf.
   void OnCancelled() { this->probing = false; }
@@ -81,6 +82,7 @@
   TimePoint lastAnswer;
   TimePoint lastSample;
   TimePoint lastRefusal;
+  TimePoint excludedAt;
   TimePoint excludedUntil;
   std::uint32_t failures = 0; ///< in a row
   bool probing = false;       ///< a request was sent after an exclusion and is not answered yet
--- a/src/gateway/tests/gateway_tests.cpp
+++ b/src/gateway/tests/gateway_tests.cpp
@@ -501,4 +501,22 @@
   REQUIRE(world.exchange.sent.size() == sent);
 }
 
+TEST_CASE("Calls that pile up at a slow leaf exclude it once and not for longer each", "[dark][slow]")
+{
+  GatewayWorld world;
+  const Ref<LeafHandle> leaf = world.leafs.Leafs("plain")[0];
+  std::vector<std::unique_ptr<OutstandingCall>> calls;
+  for (int i = 0; i < 8; ++i) {
+    calls.push_back(std::make_unique<OutstandingCall>());
+    leaf->condition.OnSend(*calls.back(), world.clock.Now());
+  }
+  const TimePoint sent = world.clock.Now();
+  world.clock.Advance(milliseconds(400));
+  for (int i = 0; i < 8; ++i) {
+    leaf->condition.OnUnreachable(sent, world.clock.Now());
+    world.clock.Advance(milliseconds(5));
+  }
+  REQUIRE_FALSE(leaf->condition.Excluded(world.clock.Now() + milliseconds(260)));
+}
+
 } // namespace yp
