Count lost answers against a leaf's standing

Lost answers now raise the same moving average as refusals, so that the shard's other leaf is asked first.

--- a/src/gateway/internal/leafcondition.cpp
+++ b/src/gateway/internal/leafcondition.cpp
@@ -59,11 +59,17 @@
 }
 
 void
-LeafCondition::OnRefusal(TimePoint aNow)
+LeafCondition::CountFault(TimePoint aNow)
 {
   const double current = this->RefusalRate(aNow);
   this->refusals = current + kRefusalWeight * (1 - current);
   this->lastRefusal = aNow;
+}
+
+void
+LeafCondition::OnRefusal(TimePoint aNow)
+{
+  this->CountFault(aNow);
   this->lastAnswer = aNow;
   this->probing = false;
 }
@@ -71,6 +77,7 @@
 void
 LeafCondition::OnUnreachable(TimePoint aSentAt, TimePoint aNow)
 {
+  this->CountFault(aNow);
   if (aSentAt <= this->excludedAt) {
     return;
   }
--- a/src/gateway/leafdirectory.h
+++ b/src/gateway/leafdirectory.h
@@ -66,7 +66,7 @@
   /// \return when the exclusion ends
   TimePoint ExcludedUntil() const { return this->excludedUntil; }
 
-  /// \return share of refused and failed requests, moving average, 0 to 1
+  /// \return share of refused, failed and lost requests, moving average, 0 to 1
   double RefusalRate(TimePoint aNow) const;
 
   std::size_t InFlight() const { return this->outstanding.size(); }
@@ -75,6 +75,7 @@
   using Calls = boost::intrusive::list<OutstandingCall, boost::intrusive::constant_time_size<false>>;
 
   double Slowness(TimePoint aNow) const;
+  void CountFault(TimePoint aNow);
 
   Calls outstanding;
   double slowness = 1; ///< moving average of elapsed over expected time
--- a/src/gateway/tests/gateway_tests.cpp
+++ b/src/gateway/tests/gateway_tests.cpp
@@ -519,4 +519,25 @@
   REQUIRE_FALSE(leaf->condition.Excluded(world.clock.Now() + milliseconds(260)));
 }
 
+TEST_CASE("A leaf that loses part of its answers gets few first requests", "[scatter][lost]")
+{
+  GatewayWorld world;
+  int count = 0;
+  world.exchange.script = [&count](const std::string& aLeaf) {
+    FakeAnswer answer;
+    if (aLeaf == "shard3-a" && ++count % 2 == 0) {
+      answer.outcome = LeafOutcome::kLost;
+      answer.after = milliseconds(2);
+    }
+    return answer;
+  };
+  constexpr int kQueries = 100;
+  for (int i = 0; i < kQueries; ++i) {
+    world.Ask("/all/x");
+    world.timers.RunFor(milliseconds(20));
+  }
+  REQUIRE(world.exchange.CountSent("shard3-a") < kQueries / 2);
+  REQUIRE(world.exchange.CountSent("shard4-a") == kQueries);
+}
+
 } // namespace yp
