--- a/src/gateway/igateway.h
+++ b/src/gateway/igateway.h
@@ -52,7 +52,7 @@
   double extraLoadSlack = 54;  ///< repeated leaf requests of the fleet beyond that, in the window
   /// By which a leaf in another failure domain has to be faster, as a part of the route's objective. Bytes
   /// between domains cost more than a wait that still meets the objective.
-  double remotePenaltyShare = 0.25;
+  double remotePenaltyShare = 0.1;
 };
 
 constexpr std::size_t kGatewayOutcomes = 6;
