--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -8,6 +8,7 @@
 #include "gateway/igateway.h"
 #include "gateway/ileafexchange.h"
 #include "gateway/leafdirectory.h"
+#include "gateway/recordmerge.h"
 #include "gateway/routingstate.h"
 #include <memory>
 
--- a/src/gateway/internal/recordmerge.cpp
+++ b/src/gateway/internal/recordmerge.cpp
@@ -1,4 +1,4 @@
-#include "gateway/internal/recordmerge.h"
+#include "gateway/recordmerge.h"
 #include <algorithm>
 #include <functional>
 
--- a/src/gateway/internal/scatterrunner.h
+++ b/src/gateway/internal/scatterrunner.h
@@ -1,8 +1,8 @@
 #ifndef YP_GATEWAY_INTERNAL_SCATTERRUNNER_H
 #define YP_GATEWAY_INTERNAL_SCATTERRUNNER_H
 
-#include "gateway/internal/recordmerge.h"
 #include "gateway/internal/runnercontext.h"
+#include "gateway/recordmerge.h"
 #include <memory>
 #include <optional>
 #include <set>
--- a/src/gateway/internal/recordmerge.h
+++ b/src/gateway/recordmerge.h
@@ -1,5 +1,5 @@
-#ifndef YP_GATEWAY_INTERNAL_RECORDMERGE_H
-#define YP_GATEWAY_INTERNAL_RECORDMERGE_H
+#ifndef YP_GATEWAY_RECORDMERGE_H
+#define YP_GATEWAY_RECORDMERGE_H
 
 #include <cstddef>
 #include <string>
