--- a/src/changefeed/tests/changefeed_tests.cpp
+++ b/src/changefeed/tests/changefeed_tests.cpp
@@ -51,6 +51,9 @@
         return;
       }
       ++this->fleet.reads;
+      if (this->fleet.stuck.count(this->index) != 0) {
+        return;
+      }
       if (this->fleet.away.count(this->index) != 0) {
         this->relay->SetSourceReachable(false);
       } else {
@@ -114,7 +117,8 @@
 
   ChangeLog source;
   std::map<std::size_t, std::unique_ptr<Feed>> feeds;
-  std::set<std::size_t> away; ///< nodes that the source turns away
+  std::set<std::size_t> away;  ///< nodes that the source turns away
+  std::set<std::size_t> stuck; ///< nodes that wait for the source for ever and do not notice
   std::uint64_t begun = 0;
   std::uint64_t reads = 0;
   std::uint64_t fetches = 0;
@@ -240,4 +244,21 @@
   REQUIRE(follower->second->relay->Log().Revision() == 2);
 }
 
+TEST_CASE("When the readers are stuck without a sign, others read in time for a configuration",
+          "[relay][store]")
+{
+  FeedFleet fleet;
+  fleet.Publish(1);
+  fleet.StartFeeds(8);
+  fleet.timers.RunFor(seconds(5));
+  for (const auto& [index, feed] : fleet.feeds) {
+    if (feed->reading) {
+      fleet.stuck.insert(index);
+    }
+  }
+  fleet.Publish(2);
+  fleet.timers.RunFor(milliseconds(4000));
+  REQUIRE(fleet.CountAt(2) == 8);
+}
+
 } // namespace yp
--- a/src/gateway/internal/leafchoice.cpp
+++ b/src/gateway/internal/leafchoice.cpp
@@ -5,7 +5,7 @@
 
 namespace {
 
-constexpr double kColdFactor = 1.6; // slowness of cold leafs on the users' sheets
+constexpr double kColdFactor = 1.6; // from the users' service data: a cold leaf takes this much longer
 // A pause of a leaf lasts about this long; a silent leaf is chosen when the others are slower by more.
 constexpr Duration kSilencePenalty = std::chrono::milliseconds(120);
 // Cost of a refused request: it has to be repeated, or the answer lacks a part.
--- a/src/gateway/tests/gateway_tests.cpp
+++ b/src/gateway/tests/gateway_tests.cpp
@@ -418,7 +418,7 @@
   GatewayWorld world;
   world.exchange.script = [](const std::string&) {
     FakeAnswer answer;
-    answer.outcome = LeafOutcome::kLost;
+    answer.outcome = LeafOutcome::kFailed; // does not exclude the leaf, so that only the budget limits
     answer.after = milliseconds(1);
     return answer;
   };
@@ -438,7 +438,7 @@
   world.gateway->SetExtraLoadShare(0.1);
   world.exchange.script = [](const std::string&) {
     FakeAnswer answer;
-    answer.outcome = LeafOutcome::kLost;
+    answer.outcome = LeafOutcome::kFailed; // does not exclude the leaf, so that only the budget limits
     answer.after = milliseconds(1);
     return answer;
   };
