--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -4,7 +4,7 @@
 
 namespace {
 
-constexpr const char* kVersion = "0.1.0";
+constexpr const char* kVersion = "0.2.0";
 constexpr int kExitFailure = 1;
 constexpr int kExitUsage = 2;
 
--- a/src/ctl/internal/commandline.cpp
+++ b/src/ctl/internal/commandline.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-constexpr const char* kVersion = "0.1.0";
+constexpr const char* kVersion = "0.2.0";
 constexpr int kNameWidth = 12;
 
 void
