Rank the nodes once for each round of news, and keep the hashes of the member table

Cause: a reader worked out each domain's relay by sorting all nodes once for every node, with two hashes a comparison, each half second and with each change; and every datagram hashed the whole table. The hashes are computed anew only after a change of the table.

--- a/src/changefeed/internal/readerrank.cpp
+++ b/src/changefeed/internal/readerrank.cpp
@@ -1,5 +1,6 @@
 #include "changefeed/readerrank.h"
 #include <algorithm>
+#include <map>
 #include <set>
 
 namespace yp {
@@ -39,6 +40,19 @@
   return ranked;
 }
 
+/// The node that passes news on inside each failure domain: the first of the domain in the ranking.
+using Relays = std::map<std::string, const PeerRecord*>;
+
+Relays
+ChooseRelays(const std::vector<PeerRecord>& aPeers)
+{
+  Relays relays;
+  for (const PeerRecord* peer : Ranked(aPeers)) {
+    relays.emplace(peer->failureDomain, peer);
+  }
+  return relays;
+}
+
 } // namespace
 
 std::vector<std::string>
@@ -66,32 +80,20 @@
   return readers;
 }
 
-std::string
-ChooseRelay(const std::vector<PeerRecord>& aPeers, const std::string& aDomain)
-{
-  for (const PeerRecord* peer : Ranked(aPeers)) {
-    if (peer->failureDomain == aDomain) {
-      return peer->host;
-    }
-  }
-  return {};
-}
-
 std::vector<const PeerRecord*>
 ChooseTold(const std::vector<PeerRecord>& aPeers, bool aReads)
 {
   const PeerRecord& own = aPeers.front();
-  const bool tellsDomain = aReads || ChooseRelay(aPeers, own.failureDomain) == own.host;
-  std::set<std::string> relays;
-  if (aReads) {
-    for (const PeerRecord& peer : aPeers) {
-      relays.insert(ChooseRelay(aPeers, peer.failureDomain));
-    }
-  }
+  const Relays relays = ChooseRelays(aPeers);
+  const auto isRelay = [&relays](const PeerRecord& aPeer) {
+    const auto found = relays.find(aPeer.failureDomain);
+    return found != relays.end() && found->second == &aPeer;
+  };
+  const bool tellsDomain = aReads || isRelay(own);
   std::vector<const PeerRecord*> told;
   for (const PeerRecord& peer : aPeers) {
     const bool domain = tellsDomain && peer.failureDomain == own.failureDomain;
-    if (&peer != &own && Up(peer) && (domain || relays.count(peer.host) != 0)) {
+    if (&peer != &own && Up(peer) && (domain || (aReads && isRelay(peer)))) {
       told.push_back(&peer);
     }
   }
--- a/src/changefeed/readerrank.h
+++ b/src/changefeed/readerrank.h
@@ -11,13 +11,8 @@
 std::vector<std::string>
 ChooseReaders(const std::vector<PeerRecord>& aPeers);
 
-/// \return the host that passes news on inside a failure domain; empty when the domain has none
-std::string
-ChooseRelay(const std::vector<PeerRecord>& aPeers, const std::string& aDomain);
-
-/// \return whom a node tells of news
-/// \param aPeers the telling node first
-/// \param aReads whether it reads the source; else it tells its own domain if it is the domain's relay
+/// \return whom a node tells of news: a reader its domain and one relay of each other domain, a relay its
+/// domain \param aPeers the telling node first \param aReads whether it reads the source
 std::vector<const PeerRecord*>
 ChooseTold(const std::vector<PeerRecord>& aPeers, bool aReads);
 
--- a/src/gossip/internal/gossiptable.cpp
+++ b/src/gossip/internal/gossiptable.cpp
@@ -62,34 +62,34 @@
   this->Changed(this->records.front());
 }
 
-bool
+void
 GossipTable::Merge(const PeerRecord& aRecord)
 {
   if (aRecord.host == this->Own().host) {
-    return this->MergeOwn(aRecord);
+    this->MergeOwn(aRecord);
+    return;
   }
   PeerRecord* known = this->Mutable(aRecord.host);
   if (known == nullptr) {
     this->records.push_back(aRecord);
     this->Changed(aRecord);
-    return true;
+    return;
   }
   if (!aRecord.Replaces(*known)) {
-    return false;
+    return;
   }
   const bool suspected = known->suspected;
   *known = aRecord;
   known->suspected = suspected;
   this->Changed(aRecord);
-  return true;
 }
 
-bool
+void
 GossipTable::MergeOwn(const PeerRecord& aRecord)
 {
   PeerRecord& own = this->records.front();
   if (!aRecord.Replaces(own)) {
-    return false;
+    return;
   }
   // A clock that was set back makes the predecessor's start look later.
   if (aRecord.started > own.started) {
@@ -97,7 +97,6 @@
   }
   own.sequence = std::max(own.sequence, aRecord.sequence) + 1;
   this->Changed(own);
-  return true;
 }
 
 void
@@ -186,6 +185,7 @@
   Spread& spread = this->spread[aRecord.host];
   spread.sent = 0;
   this->changedAt = this->clock.Now();
+  this->bucketHashes.clear();
   if (aRecord.state != PeerState::kDown) {
     spread.upAt = this->clock.Now();
   }
@@ -208,10 +208,11 @@
 std::vector<PeerRecord>
 GossipTable::TakeNews(std::size_t aMost)
 {
+  const std::uint32_t limit = this->SpreadLimit();
   std::vector<std::pair<std::uint32_t, const PeerRecord*>> news;
   for (const PeerRecord& record : this->records) {
-    const std::uint32_t sent = this->spread[record.host].sent;
-    if (&record != &this->records.front() && sent < this->SpreadLimit()) {
+    const std::uint32_t sent = this->spread.at(record.host).sent;
+    if (&record != &this->records.front() && sent < limit) {
       news.emplace_back(sent, &record);
     }
   }
@@ -231,20 +232,22 @@
 GossipTable::Hash() const
 {
   std::uint64_t hash = 0;
-  for (const PeerRecord& record : this->records) {
-    hash ^= HashOf(record);
+  for (const std::uint64_t bucket : this->BucketHashes()) {
+    hash ^= bucket;
   }
   return hash;
 }
 
-std::vector<std::uint64_t>
+const std::vector<std::uint64_t>&
 GossipTable::BucketHashes() const
 {
-  std::vector<std::uint64_t> hashes(kBuckets, 0);
-  for (const PeerRecord& record : this->records) {
-    hashes[BucketOf(record)] ^= HashOf(record);
+  if (this->bucketHashes.empty()) {
+    this->bucketHashes.assign(kBuckets, 0);
+    for (const PeerRecord& record : this->records) {
+      this->bucketHashes[BucketOf(record)] ^= HashOf(record);
+    }
   }
-  return hashes;
+  return this->bucketHashes;
 }
 
 std::vector<PeerRecord>
@@ -253,7 +256,7 @@
   if (aHashes.size() != kBuckets) {
     return this->records;
   }
-  const std::vector<std::uint64_t> own = this->BucketHashes();
+  const std::vector<std::uint64_t>& own = this->BucketHashes();
   std::vector<PeerRecord> different;
   for (const PeerRecord& record : this->records) {
     const std::size_t bucket = BucketOf(record);
--- a/src/gossip/internal/gossiptable.h
+++ b/src/gossip/internal/gossiptable.h
@@ -14,8 +14,7 @@
   GossipTable(PeerRecord aOwn, const IClock& aClock);
 
   /// Merges a record.
-  /// \return whether the table changed
-  bool Merge(const PeerRecord& aRecord);
+  void Merge(const PeerRecord& aRecord);
 
   void SetOwnState(PeerState aState);
   void SetSourceAway(bool aAway);
@@ -45,8 +44,8 @@
   /// \return hash of all records, independent of their order
   std::uint64_t Hash() const;
 
-  /// \return hash of the records of each group
-  std::vector<std::uint64_t> BucketHashes() const;
+  /// \return hash of the records of each group; computed anew only after a change
+  const std::vector<std::uint64_t>& BucketHashes() const;
 
   /// \return the records of the groups that differ from another table's
   /// \param aHashes of the other table; all records are returned when it is not of kBuckets groups
@@ -66,7 +65,7 @@
   };
 
   PeerRecord* Mutable(const std::string& aHost);
-  bool MergeOwn(const PeerRecord& aRecord);
+  void MergeOwn(const PeerRecord& aRecord);
   void Changed(const PeerRecord& aRecord);
   std::uint32_t SpreadLimit() const;
 
@@ -74,6 +73,7 @@
   std::vector<PeerRecord> records; ///< the own record first
   std::map<std::string, Spread> spread;
   TimePoint changedAt;
+  mutable std::vector<std::uint64_t> bucketHashes; ///< empty after a change
 };
 
 } // namespace yp
