Serve single requests and parts of queries by one way of asking a service's leafs

The two runners chose a leaf, paid for repeats, counted and sent with the same code in small variations, kept the leafs that had got the request twice (as pointers and as references), and each looked up and took its requests in its own way. LeafAttempts, SendToLeaf and RunTable now serve both; CallSender takes a call out in one place. The only variation left is a parameter: a single request still takes an excluded leaf when there is no other. A branch that let a failed part count again is gone: no result can arrive after a part has failed.

--- a/src/gateway/internal/callsender.cpp
+++ b/src/gateway/internal/callsender.cpp
@@ -59,30 +59,38 @@
   this->ArmSweep();
 }
 
-void
-CallSender::Cancel(std::uint64_t aCall)
+std::unique_ptr<CallSender::Call>
+CallSender::Take(std::uint64_t aCall)
 {
   const auto found = this->calls.find(aCall);
   if (found == this->calls.end()) {
-    return;
+    return nullptr;
   }
-  this->released -= found->second->handler ? 0 : 1;
-  found->second->leaf->condition.OnCancelled();
+  std::unique_ptr<Call> call = std::move(found->second);
   this->calls.erase(found);
+  this->released -= call->handler ? 0 : 1;
+  call->unlink();
+  return call;
+}
+
+void
+CallSender::Cancel(std::uint64_t aCall)
+{
+  const std::unique_ptr<Call> call = this->Take(aCall);
+  if (!call) {
+    return;
+  }
+  call->leaf->condition.OnCancelled();
   this->exchange.Cancel(aCall);
 }
 
 void
 CallSender::Expire(std::uint64_t aCall)
 {
-  const auto found = this->calls.find(aCall);
-  if (found == this->calls.end()) {
+  const std::unique_ptr<Call> call = this->Take(aCall);
+  if (!call) {
     return;
   }
-  const std::unique_ptr<Call> call = std::move(found->second);
-  this->calls.erase(found);
-  this->released -= call->handler ? 0 : 1;
-  call->unlink();
   const TimePoint now = this->clock.Now();
   call->leaf->condition.OnUnreachable(call->sentAt, now);
   this->Log(*call, "no_answer", now - call->sentAt, {});
@@ -92,22 +100,17 @@
 void
 CallSender::OnResult(std::uint64_t aCall, LeafResult aResult)
 {
-  const auto found = this->calls.find(aCall);
-  if (found == this->calls.end()) {
+  const std::unique_ptr<Call> call = this->Take(aCall);
+  if (!call) {
     return;
   }
-  const std::unique_ptr<Call> call = std::move(found->second);
-  this->calls.erase(found);
-  call->unlink();
   this->Learn(*call, aResult);
   if (aResult.outcome != LeafOutcome::kAnswered || call->repeated) {
     this->Log(*call, ToString(aResult.outcome), this->clock.Now() - call->sentAt, aResult.error);
   }
-  if (!call->handler) {
-    --this->released;
-    return;
+  if (call->handler) {
+    call->handler(aCall, std::move(aResult));
   }
-  call->handler(aCall, std::move(aResult));
 }
 
 void
--- a/src/gateway/internal/callsender.h
+++ b/src/gateway/internal/callsender.h
@@ -49,6 +49,10 @@
     TimePoint releasedAt;
   };
 
+  /// Removes a call from those under way.
+  /// \return the call; null when it has ended
+  std::unique_ptr<Call> Take(std::uint64_t aCall);
+
   void OnResult(std::uint64_t aCall, LeafResult aResult);
   void Learn(Call& aCall, const LeafResult& aResult);
   void Log(const Call& aCall, const char* aOutcome, Duration aElapsed, const Error& aError);
--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -96,7 +96,7 @@
     request.received = this->clock.Now();
     request.routing = this->routing;
     if (!this->routing) {
-      this->Reply(request, aHandler, Refusal("no_configuration", kNotReadyRetry, this->random), 0);
+      this->Reply(request, aHandler, Refusal("no_configuration", kNotReadyRetry, this->random));
       return 0;
     }
     request.route = this->routing->Match(aRequest.host, PathOf(request.message->target));
@@ -104,7 +104,7 @@
       GatewayReply reply;
       reply.outcome = GatewayOutcome::kNoRoute;
       reply.reason = "no_route";
-      this->Reply(request, aHandler, std::move(reply), 0);
+      this->Reply(request, aHandler, std::move(reply));
       return 0;
     }
     this->SetTimes(request, aRequest.patience);
@@ -130,11 +130,11 @@
 private:
   RunnerFinished Finished()
   {
-    return [this](const RunnerRequest& aRequest, GatewayReply aReply, std::uint32_t aExtraCalls) {
+    return [this](const RunnerRequest& aRequest, GatewayReply aReply) {
       const auto found = this->handlers.find(aRequest.handle);
       const Handler handler = std::move(found->second);
       this->handlers.erase(found);
-      this->Reply(aRequest, handler, std::move(aReply), aExtraCalls);
+      this->Reply(aRequest, handler, std::move(aReply));
     };
   }
 
@@ -169,7 +169,7 @@
     if (refusal) {
       const Handler handler = std::move(this->handlers.at(handle));
       this->handlers.erase(handle);
-      this->Reply(kept, handler, std::move(*refusal), 0);
+      this->Reply(kept, handler, std::move(*refusal));
       return 0;
     }
     return handle;
@@ -180,10 +180,7 @@
     return aRoute.split.empty() ? aRoute.service : this->splits.Next(aRoute);
   }
 
-  void Reply(const RunnerRequest& aRequest,
-             const Handler& aHandler,
-             GatewayReply aReply,
-             std::uint32_t aExtraCalls)
+  void Reply(const RunnerRequest& aRequest, const Handler& aHandler, GatewayReply aReply)
   {
     const Duration elapsed = this->clock.Now() - aRequest.received;
     ++this->stats.outcomes[static_cast<std::size_t>(aReply.outcome)];
@@ -195,7 +192,7 @@
       ++bucket;
     }
     ++this->stats.latency[bucket];
-    LogRequest(this->log, aRequest, aReply, aExtraCalls, elapsed);
+    LogRequest(this->log, aRequest, aReply, elapsed);
     aHandler(std::move(aReply));
   }
 
--- /dev/null
+++ b/src/gateway/internal/leafattempts.cpp
@@ -0,0 +1,53 @@
+#include "gateway/internal/leafattempts.h"
+#include <algorithm>
+
+namespace yp {
+
+void
+LeafAttempts::OnResult(std::uint64_t aCall, LeafOutcome aOutcome)
+{
+  this->calls.erase(std::remove(this->calls.begin(), this->calls.end(), aCall), this->calls.end());
+  const bool ran =
+    aOutcome == LeafOutcome::kAnswered || aOutcome == LeafOutcome::kFailed || aOutcome == LeafOutcome::kLost;
+  this->mayHaveRun -= ran ? 0 : 1;
+}
+
+bool
+SendToLeaf(RunnerContext& aContext,
+           RunnerRequest& aRequest,
+           LeafAttempts& aAttempts,
+           const std::string& aService,
+           CallPurpose aPurpose,
+           bool aTakeExcluded,
+           CallSender::Handler aHandler)
+{
+  const TimePoint now = aContext.clock.Now();
+  const RouteSpec& route = *aRequest.route;
+  const bool extra = aPurpose == CallPurpose::kExtra;
+  const LeafNeed need{ aRequest.times->Typical(), route.objective, &aAttempts.used, extra };
+  LeafHandle* leaf = ChooseLeaf(aContext.leafs.Leafs(aService), need, aContext.options, aContext.random, now);
+  if (leaf == nullptr || (!aTakeExcluded && leaf->condition.Excluded(now))) {
+    return false;
+  }
+  if (extra && !aContext.TrySpend(aService)) {
+    return false;
+  }
+  YP_INVARIANT(
+    route.idempotent || aAttempts.mayHaveRun == 0, "gateway.non_idempotent_once", aRequest.message->id);
+  aRequest.extraCalls += extra ? 1 : 0;
+  aContext.stats.firstCalls += aPurpose == CallPurpose::kFirst ? 1 : 0;
+  aAttempts.used.emplace_back(leaf);
+  aAttempts.sentAt = now;
+  ++aAttempts.mayHaveRun;
+  LeafCall call;
+  call.leaf = leaf;
+  call.request = aRequest.message;
+  call.deadline = aRequest.deadline;
+  call.freshConnection = !route.idempotent;
+  const bool repeated = aPurpose != CallPurpose::kFirst;
+  aAttempts.calls.push_back(
+    aContext.sender.Send(std::move(call), aRequest.times, repeated, std::move(aHandler)));
+  return true;
+}
+
+} // namespace yp
--- a/src/gateway/internal/leafchoice.h
+++ b/src/gateway/internal/leafchoice.h
@@ -9,10 +9,10 @@
 /// What is asked of a leaf that is chosen.
 struct LeafNeed
 {
-  Duration typical{ 0 };                          ///< usual time of such a request
-  Duration objective{ 0 };                        ///< of the route
-  const std::vector<LeafHandle*>* used = nullptr; ///< leafs that got the request; not chosen again
-  bool proven = false;                            ///< only leafs that answer now, for a repeated request
+  Duration typical{ 0 };                              ///< usual time of such a request
+  Duration objective{ 0 };                            ///< of the route
+  const std::vector<Ref<LeafHandle>>* used = nullptr; ///< leafs that got the request; not chosen again
+  bool proven = false;                                ///< only leafs that answer now, for a repeated request
 };
 
 /// Chooses the leaf that is expected to answer first. A leaf in another failure domain has to be faster by
--- a/src/gateway/internal/plainrunner.cpp
+++ b/src/gateway/internal/plainrunner.cpp
@@ -17,6 +17,7 @@
 PlainRunner::PlainRunner(RunnerContext& aContext, RunnerFinished aFinished)
   : context(aContext)
   , finished(std::move(aFinished))
+  , runs(aContext.timers)
 {
 }
 
@@ -29,60 +30,37 @@
     return Refusal(leafs.empty() ? "no_leaf" : "leafs_unreachable", kNoLeafRetry, this->context.random);
   }
   auto owned = std::make_unique<Run>();
-  Run& run = *owned;
-  run.request = std::move(aRequest);
-  run.service = aService;
-  const std::uint64_t handle = run.request.handle;
-  this->runs.emplace(handle, std::move(owned));
-  this->Send(run, Purpose::kFirst);
+  owned->request = std::move(aRequest);
+  owned->service = aService;
+  Run& run = this->runs.Add(std::move(owned));
+  this->Send(run, CallPurpose::kFirst);
   this->Arm(run);
   return std::nullopt;
 }
 
 bool
-PlainRunner::Send(Run& aRun, Purpose aPurpose)
+PlainRunner::Send(Run& aRun, CallPurpose aPurpose)
 {
-  const TimePoint now = this->context.clock.Now();
-  const bool hedge = aPurpose == Purpose::kExtra;
-  const LeafNeed need{ aRun.request.times->Typical(), aRun.request.route->objective, &aRun.used, hedge };
-  LeafHandle* leaf = ChooseLeaf(
-    this->context.leafs.Leafs(aRun.service), need, this->context.options, this->context.random, now);
-  if (leaf == nullptr || (hedge && !this->context.TrySpend(aRun.service))) {
-    return false;
-  }
-  aRun.extra += hedge ? 1 : 0;
-  this->context.stats.firstCalls += aPurpose == Purpose::kFirst ? 1 : 0;
-  YP_INVARIANT(aRun.request.route->idempotent || aRun.mayHaveRun == 0,
-               "gateway.non_idempotent_once",
-               aRun.request.message->id);
-  aRun.used.push_back(leaf);
-  aRun.usedRefs.emplace_back(leaf);
-  aRun.sentAt = now;
-  ++aRun.mayHaveRun;
-  LeafCall call;
-  call.leaf = leaf;
-  call.request = aRun.request.message;
-  call.deadline = aRun.request.deadline;
-  call.freshConnection = !aRun.request.route->idempotent;
-  aRun.calls.push_back(
-    this->context.sender.Send(std::move(call),
-                              aRun.request.times,
-                              aPurpose != Purpose::kFirst,
-                              [this, handle = aRun.request.handle](std::uint64_t aCall, LeafResult aResult) {
-                                this->OnResult(handle, aCall, std::move(aResult));
-                              }));
-  return true;
+  return SendToLeaf(this->context,
+                    aRun.request,
+                    aRun.attempts,
+                    aRun.service,
+                    aPurpose,
+                    true,
+                    [this, handle = aRun.request.handle](std::uint64_t aCall, LeafResult aResult) {
+                      this->OnResult(handle, aCall, std::move(aResult));
+                    });
 }
 
 void
 PlainRunner::OnResult(std::uint64_t aHandle, std::uint64_t aCall, LeafResult aResult)
 {
-  const auto found = this->runs.find(aHandle);
-  if (found == this->runs.end()) {
+  Run* found = this->runs.Find(aHandle);
+  if (found == nullptr) {
     return;
   }
-  Run& run = *found->second;
-  run.calls.erase(std::remove(run.calls.begin(), run.calls.end(), aCall), run.calls.end());
+  Run& run = *found;
+  run.attempts.OnResult(aCall, aResult.outcome);
   if (aResult.outcome == LeafOutcome::kAnswered) {
     GatewayReply reply;
     reply.outcome = GatewayOutcome::kPassed;
@@ -98,19 +76,18 @@
 PlainRunner::OnUnanswered(Run& aRun, LeafResult aResult)
 {
   const LeafOutcome outcome = aResult.outcome;
-  const bool ran = outcome == LeafOutcome::kFailed || outcome == LeafOutcome::kLost;
-  aRun.mayHaveRun -= ran ? 0 : 1;
   if (outcome == LeafOutcome::kFailed) {
     aRun.failure = std::move(aResult.response);
   }
-  if (!aRun.calls.empty()) {
+  if (!aRun.attempts.calls.empty()) {
     return;
   }
-  if (outcome == LeafOutcome::kNotSent && ++aRun.unsent <= kMaxUnsent && this->Send(aRun, Purpose::kUnsent)) {
+  if (outcome == LeafOutcome::kNotSent && ++aRun.attempts.unsent <= kMaxUnsent &&
+      this->Send(aRun, CallPurpose::kUnsent)) {
     this->Arm(aRun);
     return;
   }
-  if (this->MayRepeat(aRun, outcome) && this->Send(aRun, Purpose::kExtra)) {
+  if (this->MayRepeat(aRun, outcome) && this->Send(aRun, CallPurpose::kExtra)) {
     this->Arm(aRun);
     return;
   }
@@ -121,7 +98,7 @@
 PlainRunner::MayRepeat(const Run& aRun, LeafOutcome aOutcome) const
 {
   const RouteSpec& route = *aRun.request.route;
-  if (aRun.mayHaveRun >= (route.idempotent ? route.attempts : 1)) {
+  if (aRun.attempts.mayHaveRun >= (route.idempotent ? route.attempts : 1)) {
     return false;
   }
   const TimePoint now = this->context.clock.Now();
@@ -140,7 +117,7 @@
     this->Finish(aRun, std::move(reply));
     return;
   }
-  if (aRun.mayHaveRun == 0) {
+  if (aRun.attempts.mayHaveRun == 0) {
     this->Finish(aRun, Refusal("leafs_full", kFullRetry, this->context.random));
     return;
   }
@@ -161,8 +138,8 @@
 {
   this->context.timers.Cancel(aRun.timer);
   TimePoint wake = aRun.request.answerBy;
-  if (aRun.request.route->idempotent && !aRun.hedged) {
-    wake = std::min(wake, aRun.sentAt + this->HedgeDelay(aRun));
+  if (aRun.request.route->idempotent && !aRun.attempts.hedged) {
+    wake = std::min(wake, aRun.attempts.sentAt + this->HedgeDelay(aRun));
   }
   aRun.timer = this->context.timers.At(wake, [this, handle = aRun.request.handle] { this->Tick(handle); });
 }
@@ -170,11 +147,11 @@
 void
 PlainRunner::Tick(std::uint64_t aHandle)
 {
-  const auto found = this->runs.find(aHandle);
-  if (found == this->runs.end()) {
+  Run* found = this->runs.Find(aHandle);
+  if (found == nullptr) {
     return;
   }
-  Run& run = *found->second;
+  Run& run = *found;
   run.timer = 0;
   const TimePoint now = this->context.clock.Now();
   if (now >= run.request.answerBy) {
@@ -184,9 +161,9 @@
     this->Finish(run, std::move(reply));
     return;
   }
-  run.hedged = true;
+  run.attempts.hedged = true;
   if (this->MayRepeat(run, LeafOutcome::kLost)) {
-    this->Send(run, Purpose::kExtra);
+    this->Send(run, CallPurpose::kExtra);
   }
   this->Arm(run);
 }
@@ -194,33 +171,26 @@
 void
 PlainRunner::Finish(Run& aRun, GatewayReply aReply)
 {
-  const std::uint64_t handle = aRun.request.handle;
-  const auto found = this->runs.find(handle);
-  const std::unique_ptr<Run> run = std::move(found->second);
-  this->runs.erase(found);
-  this->context.timers.Cancel(run->timer);
+  const std::unique_ptr<Run> run = this->runs.Take(aRun.request.handle);
   const bool late = aReply.outcome == GatewayOutcome::kTimedOut;
-  for (const std::uint64_t call : run->calls) {
+  for (const std::uint64_t call : run->attempts.calls) {
     if (late) {
       this->context.sender.Expire(call);
     } else {
       this->context.sender.Release(call);
     }
   }
-  this->finished(run->request, std::move(aReply), run->extra);
+  this->finished(run->request, std::move(aReply));
 }
 
 void
 PlainRunner::Abandon(std::uint64_t aHandle)
 {
-  const auto found = this->runs.find(aHandle);
-  if (found == this->runs.end()) {
+  const std::unique_ptr<Run> run = this->runs.Take(aHandle);
+  if (!run) {
     return;
   }
-  const std::unique_ptr<Run> run = std::move(found->second);
-  this->runs.erase(found);
-  this->context.timers.Cancel(run->timer);
-  for (const std::uint64_t call : run->calls) {
+  for (const std::uint64_t call : run->attempts.calls) {
     this->context.sender.Cancel(call);
   }
 }
--- a/src/gateway/internal/plainrunner.h
+++ b/src/gateway/internal/plainrunner.h
@@ -1,10 +1,8 @@
 #ifndef YP_GATEWAY_INTERNAL_PLAINRUNNER_H
 #define YP_GATEWAY_INTERNAL_PLAINRUNNER_H
 
-#include "gateway/internal/runnercontext.h"
-#include <memory>
+#include "gateway/internal/leafattempts.h"
 #include <optional>
-#include <unordered_map>
 
 namespace yp {
 
@@ -27,26 +25,12 @@
   {
     RunnerRequest request;
     std::string service;
-    std::vector<LeafHandle*> used;
-    std::vector<Ref<LeafHandle>> usedRefs; ///< keeps the entries of used alive
-    std::vector<std::uint64_t> calls;
-    std::uint32_t mayHaveRun = 0; ///< calls that a leaf may have run
-    std::uint32_t extra = 0;
-    std::uint32_t unsent = 0;
-    bool hedged = false;
+    LeafAttempts attempts;
     std::optional<HttpResponse> failure; ///< of a leaf that ran it
-    TimePoint sentAt;
     TimerId timer = 0;
   };
 
-  enum class Purpose
-  {
-    kFirst,
-    kUnsent, ///< the call before it was not written
-    kExtra
-  };
-
-  bool Send(Run& aRun, Purpose aPurpose);
+  bool Send(Run& aRun, CallPurpose aPurpose);
   void OnResult(std::uint64_t aHandle, std::uint64_t aCall, LeafResult aResult);
   void OnUnanswered(Run& aRun, LeafResult aResult);
   bool MayRepeat(const Run& aRun, LeafOutcome aOutcome) const;
@@ -58,7 +42,7 @@
 
   RunnerContext& context;
   RunnerFinished finished;
-  std::unordered_map<std::uint64_t, std::unique_ptr<Run>> runs;
+  RunTable<Run> runs;
 };
 
 } // namespace yp
--- a/src/gateway/internal/requestlog.h
+++ b/src/gateway/internal/requestlog.h
@@ -8,11 +8,7 @@
 
 /// Writes one line for each answer to a caller, within the budget.
 inline void
-LogRequest(LogBudget& aBudget,
-           const RunnerRequest& aRequest,
-           const GatewayReply& aReply,
-           std::uint32_t aExtraCalls,
-           Duration aElapsed)
+LogRequest(LogBudget& aBudget, const RunnerRequest& aRequest, const GatewayReply& aReply, Duration aElapsed)
 {
   const bool complete = aReply.outcome == GatewayOutcome::kPassed ||
                         (aReply.outcome == GatewayOutcome::kMerged && aReply.missing == 0);
@@ -27,7 +23,7 @@
              { "route", aRequest.route != nullptr ? aRequest.route->name : "" },
              { "version", aRequest.routing ? aRequest.routing->version : 0 },
              { "missing", aReply.missing },
-             { "extra_calls", aExtraCalls },
+             { "extra_calls", aRequest.extraCalls },
              { "elapsed_us", std::chrono::duration_cast<std::chrono::microseconds>(aElapsed).count() },
              { "dropped_lines", aBudget.TakeDropped() } });
 }
--- a/src/gateway/internal/runnercontext.h
+++ b/src/gateway/internal/runnercontext.h
@@ -4,6 +4,8 @@
 #include "gateway/internal/callsender.h"
 #include "gateway/internal/extraloadshare.h"
 #include "gateway/internal/leafchoice.h"
+#include <memory>
+#include <unordered_map>
 
 namespace yp {
 
@@ -43,13 +45,58 @@
   const RouteSpec* route = nullptr;
   Ref<RouteTimes> times;
   TimePoint received;
-  TimePoint objective; ///< latest time of an answer with full value
-  TimePoint answerBy;  ///< latest time of any answer
-  TimePoint deadline;  ///< the caller no longer waits after it
+  TimePoint objective;          ///< latest time of an answer with full value
+  TimePoint answerBy;           ///< latest time of any answer
+  TimePoint deadline;           ///< the caller no longer waits after it
+  std::uint32_t extraCalls = 0; ///< repeated calls made for it
+};
+
+/// The requests that a runner works on, by handle.
+/// \tparam Run has the members request and timer
+template<class Run>
+class RunTable
+{
+public:
+  explicit RunTable(ITimers& aTimers)
+    : timers(aTimers)
+  {
+  }
+
+  Run& Add(std::unique_ptr<Run> aRun)
+  {
+    Run& run = *aRun;
+    this->runs.emplace(run.request.handle, std::move(aRun));
+    return run;
+  }
+
+  /// \return the request; null when it has ended
+  Run* Find(std::uint64_t aHandle) const
+  {
+    const auto found = this->runs.find(aHandle);
+    return found == this->runs.end() ? nullptr : found->second.get();
+  }
+
+  /// Removes a request and cancels its timer.
+  /// \return the request; null when it has ended
+  std::unique_ptr<Run> Take(std::uint64_t aHandle)
+  {
+    const auto found = this->runs.find(aHandle);
+    if (found == this->runs.end()) {
+      return nullptr;
+    }
+    std::unique_ptr<Run> run = std::move(found->second);
+    this->runs.erase(found);
+    this->timers.Cancel(run->timer);
+    return run;
+  }
+
+private:
+  ITimers& timers;
+  std::unordered_map<std::uint64_t, std::unique_ptr<Run>> runs;
 };
 
 /// Called once with a request's answer, never from within Start.
-using RunnerFinished = std::function<void(const RunnerRequest&, GatewayReply, std::uint32_t aExtraCalls)>;
+using RunnerFinished = std::function<void(const RunnerRequest&, GatewayReply)>;
 
 /// \return a refusal with a time to return that is spread around aAfter, so that callers do not return
 /// together
--- a/src/gateway/internal/scatterrunner.cpp
+++ b/src/gateway/internal/scatterrunner.cpp
@@ -20,6 +20,7 @@
 ScatterRunner::ScatterRunner(RunnerContext& aContext, RunnerFinished aFinished)
   : context(aContext)
   , finished(std::move(aFinished))
+  , runs(aContext.timers)
 {
 }
 
@@ -41,13 +42,12 @@
     return refusal;
   }
   auto owned = std::make_unique<Run>(route.topRecords);
-  Run& run = *owned;
-  run.request = std::move(aRequest);
-  run.needed = needed;
-  run.parts.resize(route.shards.size());
-  this->runs.emplace(run.request.handle, std::move(owned));
+  owned->request = std::move(aRequest);
+  owned->needed = needed;
+  owned->parts.resize(route.shards.size());
+  Run& run = this->runs.Add(std::move(owned));
   for (std::size_t part = 0; part < run.parts.size(); ++part) {
-    if (!this->Send(run, part, Purpose::kFirst)) {
+    if (!this->Send(run, part, CallPurpose::kFirst)) {
       run.parts[part].failed = true;
       ++run.failedCount;
     }
@@ -57,51 +57,29 @@
 }
 
 bool
-ScatterRunner::Send(Run& aRun, std::size_t aPart, Purpose aPurpose)
+ScatterRunner::Send(Run& aRun, std::size_t aPart, CallPurpose aPurpose)
 {
-  const TimePoint now = this->context.clock.Now();
-  const std::string& shard = aRun.request.route->shards[aPart];
-  Part& part = aRun.parts[aPart];
-  const bool extra = aPurpose == Purpose::kExtra;
-  const LeafNeed need{ aRun.request.times->Typical(), aRun.request.route->objective, &part.used, extra };
-  LeafHandle* leaf =
-    ChooseLeaf(this->context.leafs.Leafs(shard), need, this->context.options, this->context.random, now);
-  if (leaf == nullptr || leaf->condition.Excluded(now)) {
-    return false;
-  }
-  if (extra && !this->context.TrySpend(shard)) {
-    return false;
-  }
-  aRun.extra += extra ? 1 : 0;
-  this->context.stats.firstCalls += aPurpose == Purpose::kFirst ? 1 : 0;
-  part.used.push_back(leaf);
-  part.usedRefs.emplace_back(leaf);
-  part.sentAt = now;
-  ++part.mayHaveRun;
-  LeafCall call;
-  call.leaf = leaf;
-  call.request = aRun.request.message;
-  call.deadline = aRun.request.deadline;
-  part.calls.push_back(this->context.sender.Send(
-    std::move(call),
-    aRun.request.times,
-    aPurpose != Purpose::kFirst,
-    [this, handle = aRun.request.handle, aPart](std::uint64_t aCall, LeafResult aResult) {
-      this->OnResult(handle, aPart, aCall, std::move(aResult));
-    }));
-  return true;
+  return SendToLeaf(this->context,
+                    aRun.request,
+                    aRun.parts[aPart].attempts,
+                    aRun.request.route->shards[aPart],
+                    aPurpose,
+                    false,
+                    [this, handle = aRun.request.handle, aPart](std::uint64_t aCall, LeafResult aResult) {
+                      this->OnResult(handle, aPart, aCall, std::move(aResult));
+                    });
 }
 
 void
 ScatterRunner::OnResult(std::uint64_t aHandle, std::size_t aPart, std::uint64_t aCall, LeafResult aResult)
 {
-  const auto found = this->runs.find(aHandle);
-  if (found == this->runs.end()) {
+  Run* found = this->runs.Find(aHandle);
+  if (found == nullptr) {
     return;
   }
-  Run& run = *found->second;
+  Run& run = *found;
   Part& part = run.parts[aPart];
-  part.calls.erase(std::remove(part.calls.begin(), part.calls.end(), aCall), part.calls.end());
+  part.attempts.OnResult(aCall, aResult.outcome);
   if (part.merged) {
     return;
   }
@@ -124,12 +102,10 @@
   aRun.merge.Add(aResult.response.body);
   aPart.merged = true;
   ++aRun.mergedCount;
-  aRun.failedCount -= aPart.failed ? 1 : 0;
-  aPart.failed = false;
-  for (const std::uint64_t call : aPart.calls) {
+  for (const std::uint64_t call : aPart.attempts.calls) {
     this->context.sender.Release(call);
   }
-  aPart.calls.clear();
+  aPart.attempts.calls.clear();
   return true;
 }
 
@@ -137,17 +113,15 @@
 ScatterRunner::OnUnanswered(Run& aRun, std::size_t aPart, const LeafResult& aResult)
 {
   Part& part = aRun.parts[aPart];
-  const bool ran = aResult.outcome == LeafOutcome::kFailed || aResult.outcome == LeafOutcome::kLost ||
-                   aResult.outcome == LeafOutcome::kAnswered;
-  part.mayHaveRun -= ran ? 0 : 1;
-  if (!part.calls.empty()) {
+  if (!part.attempts.calls.empty()) {
     return;
   }
   const bool unsent = aResult.outcome == LeafOutcome::kNotSent;
-  if (unsent && ++part.unsent <= kMaxUnsent && this->Send(aRun, aPart, Purpose::kUnsent)) {
+  if (unsent && ++part.attempts.unsent <= kMaxUnsent && this->Send(aRun, aPart, CallPurpose::kUnsent)) {
     return;
   }
-  if (part.mayHaveRun < aRun.request.route->attempts && this->Send(aRun, aPart, Purpose::kExtra)) {
+  if (part.attempts.mayHaveRun < aRun.request.route->attempts &&
+      this->Send(aRun, aPart, CallPurpose::kExtra)) {
     return;
   }
   part.failed = true;
@@ -160,8 +134,8 @@
   const RouteTimes& times = *aRun.request.times;
   const auto slow = std::chrono::duration_cast<Duration>(times.High() * kHedgeFactor);
   const auto lead = std::chrono::duration_cast<Duration>(times.Typical() * kHedgeLeadFactor);
-  const TimePoint latest = std::max(aPart.sentAt + times.Typical(), aRun.request.objective - lead);
-  return std::min(aPart.sentAt + slow, latest);
+  const TimePoint latest = std::max(aPart.attempts.sentAt + times.Typical(), aRun.request.objective - lead);
+  return std::min(aPart.attempts.sentAt + slow, latest);
 }
 
 void
@@ -169,12 +143,12 @@
 {
   for (std::size_t index = 0; index < aRun.parts.size(); ++index) {
     Part& part = aRun.parts[index];
-    if (part.hedged || part.calls.empty() || this->HedgeAt(aRun, part) > aNow) {
+    if (part.attempts.hedged || part.attempts.calls.empty() || this->HedgeAt(aRun, part) > aNow) {
       continue;
     }
-    part.hedged = true;
-    if (part.mayHaveRun < aRun.request.route->attempts) {
-      this->Send(aRun, index, Purpose::kExtra);
+    part.attempts.hedged = true;
+    if (part.attempts.mayHaveRun < aRun.request.route->attempts) {
+      this->Send(aRun, index, CallPurpose::kExtra);
     }
   }
 }
@@ -208,7 +182,7 @@
     wake = std::min(wake, aRun.request.objective);
   }
   for (const Part& part : aRun.parts) {
-    if (!part.hedged && !part.calls.empty()) {
+    if (!part.attempts.hedged && !part.attempts.calls.empty()) {
       wake = std::min(wake, this->HedgeAt(aRun, part));
     }
   }
@@ -223,11 +197,11 @@
 void
 ScatterRunner::Tick(std::uint64_t aHandle)
 {
-  const auto found = this->runs.find(aHandle);
-  if (found == this->runs.end()) {
+  Run* found = this->runs.Find(aHandle);
+  if (found == nullptr) {
     return;
   }
-  Run& run = *found->second;
+  Run& run = *found;
   run.timer = 0;
   const TimePoint now = this->context.clock.Now();
   if (this->Decide(run, now)) {
@@ -265,30 +239,24 @@
 void
 ScatterRunner::Finish(Run& aRun, GatewayReply aReply)
 {
-  const auto found = this->runs.find(aRun.request.handle);
-  const std::unique_ptr<Run> run = std::move(found->second);
-  this->runs.erase(found);
-  this->context.timers.Cancel(run->timer);
+  const std::unique_ptr<Run> run = this->runs.Take(aRun.request.handle);
   for (const Part& part : run->parts) {
-    for (const std::uint64_t call : part.calls) {
+    for (const std::uint64_t call : part.attempts.calls) {
       this->context.sender.Release(call);
     }
   }
-  this->finished(run->request, std::move(aReply), run->extra);
+  this->finished(run->request, std::move(aReply));
 }
 
 void
 ScatterRunner::Abandon(std::uint64_t aHandle)
 {
-  const auto found = this->runs.find(aHandle);
-  if (found == this->runs.end()) {
+  const std::unique_ptr<Run> run = this->runs.Take(aHandle);
+  if (!run) {
     return;
   }
-  const std::unique_ptr<Run> run = std::move(found->second);
-  this->runs.erase(found);
-  this->context.timers.Cancel(run->timer);
   for (const Part& part : run->parts) {
-    for (const std::uint64_t call : part.calls) {
+    for (const std::uint64_t call : part.attempts.calls) {
       this->context.sender.Cancel(call);
     }
   }
--- a/src/gateway/internal/scatterrunner.h
+++ b/src/gateway/internal/scatterrunner.h
@@ -1,12 +1,10 @@
 #ifndef YP_GATEWAY_INTERNAL_SCATTERRUNNER_H
 #define YP_GATEWAY_INTERNAL_SCATTERRUNNER_H
 
-#include "gateway/internal/runnercontext.h"
+#include "gateway/internal/leafattempts.h"
 #include "gateway/recordmerge.h"
-#include <memory>
 #include <optional>
 #include <set>
-#include <unordered_map>
 
 namespace yp {
 
@@ -27,15 +25,9 @@
 private:
   struct Part
   {
-    std::vector<LeafHandle*> used;
-    std::vector<Ref<LeafHandle>> usedRefs; ///< keeps the entries of used alive
-    std::vector<std::uint64_t> calls;
-    std::uint32_t mayHaveRun = 0; ///< leafs that may have run it
-    std::uint32_t unsent = 0;
+    LeafAttempts attempts;
     bool merged = false;
     bool failed = false;
-    bool hedged = false;
-    TimePoint sentAt;
   };
 
   struct Run
@@ -52,19 +44,11 @@
     std::size_t mergedCount = 0;
     std::size_t failedCount = 0;
     std::size_t needed = 1; ///< parts of the least coverage
-    std::uint32_t extra = 0;
     TimerId timer = 0;
     TimePoint timerAt;
   };
 
-  enum class Purpose
-  {
-    kFirst,
-    kUnsent, ///< the call before it was not written
-    kExtra
-  };
-
-  bool Send(Run& aRun, std::size_t aPart, Purpose aPurpose);
+  bool Send(Run& aRun, std::size_t aPart, CallPurpose aPurpose);
   void OnResult(std::uint64_t aHandle, std::size_t aPart, std::uint64_t aCall, LeafResult aResult);
   bool Merge(Run& aRun, Part& aPart, const LeafResult& aResult);
   void OnUnanswered(Run& aRun, std::size_t aPart, const LeafResult& aResult);
@@ -82,7 +66,7 @@
 
   RunnerContext& context;
   RunnerFinished finished;
-  std::unordered_map<std::uint64_t, std::unique_ptr<Run>> runs;
+  RunTable<Run> runs;
 };
 
 } // namespace yp
