--- a/src/gateway/internal/leafdirectory.cpp
+++ b/src/gateway/internal/leafdirectory.cpp
@@ -84,14 +84,4 @@
   return found == this->byService.end() ? sNone : found->second;
 }
 
-std::vector<std::string>
-LeafDirectory::Ids() const
-{
-  std::vector<std::string> ids;
-  for (const auto& [id, leaf] : this->byId) {
-    ids.push_back(id);
-  }
-  return ids;
-}
-
 } // namespace yp
--- a/src/gateway/leafdirectory.h
+++ b/src/gateway/leafdirectory.h
@@ -121,9 +121,6 @@
   /// \return the leafs of a service, open or not; empty for an unknown one
   const std::vector<Ref<LeafHandle>>& Leafs(const std::string& aService) const;
 
-  /// \return the ids of all leafs
-  std::vector<std::string> Ids() const;
-
   std::size_t Count() const { return this->byId.size(); }
 
 private:
--- a/src/leafhttp/internal/leafconnection.cpp
+++ b/src/leafhttp/internal/leafconnection.cpp
@@ -238,8 +238,13 @@
   }
   response.body = std::move(message.body());
   const bool framed = message.has_content_length() || message.chunked();
-  if (this->core.dialect.BelongsToAnother(this->current->call, response) && framed) {
+  if (this->core.dialect.BelongsToAnother(this->current->call, response)) {
     ++this->core.stats.foreignResponses;
+    if (!framed) {
+      // It took the rest of the connection, so that the own one cannot follow.
+      this->Lose("leaf.response", "answer to another request");
+      return false;
+    }
     this->ExpectResponse();
     return true;
   }
--- a/src/leafhttp/leafhttp.h
+++ b/src/leafhttp/leafhttp.h
@@ -22,10 +22,10 @@
   /// \return the fields of a call's request
   virtual HttpHeaders Fields(const LeafCall& aCall, std::chrono::milliseconds aLeft) const = 0;
 
-  /// \return whether a response names another request than the call's; such a response is dropped
+  /// \return whether a response names another request than the call's; such a response is not judged
   virtual bool BelongsToAnother(const LeafCall& aCall, const HttpResponse& aResponse) const = 0;
 
-  /// Sets outcome, signature and response of a result from a complete response.
+  /// Sets outcome, signature and response of a result from a complete response to the call's request.
   virtual void Judge(const LeafCall& aCall, HttpResponse aResponse, LeafResult& aResult) const = 0;
 
   /// \return how long the leaf keeps an idle connection; none when it does not say
