Share the command line, the metrics page and the counts of answer times

One edge differs: an answer of exactly a bucket's bound now counts in the next bucket on the node too, as it did in the daemon.

--- a/src/ctl/internal/commandline.cpp
+++ b/src/ctl/internal/commandline.cpp
@@ -1,4 +1,5 @@
 #include "ctl/internal/commands.h"
+#include "framework/global/global.h"
 #include <iomanip>
 #include <ostream>
 
@@ -6,7 +7,6 @@
 
 namespace {
 
-constexpr const char* kVersion = "0.2.0";
 constexpr int kNameWidth = 12;
 
 void
--- a/src/framework/global/global.h
+++ b/src/framework/global/global.h
@@ -12,9 +12,11 @@
 #include "framework/global/incarnation.h"
 #include "framework/global/invariant.h"
 #include "framework/global/itimers.h"
+#include "framework/global/latencycounts.h"
 #include "framework/global/log.h"
 #include "framework/global/random.h"
 #include "framework/global/rcucell.h"
 #include "framework/global/settingsfile.h"
+#include "framework/global/version.h"
 
 #endif
--- a/src/gateway/igateway.h
+++ b/src/gateway/igateway.h
@@ -56,14 +56,12 @@
 };
 
 constexpr std::size_t kGatewayOutcomes = 6;
-constexpr std::size_t kGatewayLatencyBuckets = 24; ///< bounds double from 0.1 ms
 
 /// Counts since the start. Written by the gateway's thread, read by any.
 struct GatewayStats
 {
   std::array<std::atomic<std::uint64_t>, kGatewayOutcomes> outcomes{};
-  std::array<std::atomic<std::uint64_t>, kGatewayLatencyBuckets> latency{};
-  std::atomic<std::uint64_t> latencySumNs{ 0 };
+  LatencyCounts latency; ///< of all answers
   std::atomic<std::uint64_t> firstCalls{ 0 };
   std::atomic<std::uint64_t> extraCalls{ 0 };
   std::atomic<std::uint64_t> extraRefused{ 0 }; ///< repeated calls that the budget did not allow
--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -13,7 +13,6 @@
 constexpr int kObjectiveMarginPart =
   20; // the objective's part that is kept for a late wake-up of the process
 constexpr Duration kNotReadyRetry = std::chrono::milliseconds(300);
-constexpr double kFirstLatencyBoundNs = 1e5;
 
 std::string_view
 PathOf(std::string_view aTarget)
@@ -184,14 +183,7 @@
   {
     const Duration elapsed = this->clock.Now() - aRequest.received;
     ++this->stats.outcomes[static_cast<std::size_t>(aReply.outcome)];
-    this->stats.latencySumNs += static_cast<std::uint64_t>(elapsed.count());
-    std::size_t bucket = 0;
-    double bound = kFirstLatencyBoundNs;
-    while (bucket + 1 < kGatewayLatencyBuckets && static_cast<double>(elapsed.count()) > bound) {
-      bound *= 2;
-      ++bucket;
-    }
-    ++this->stats.latency[bucket];
+    this->stats.latency.Add(elapsed);
     LogRequest(this->log, aRequest, aReply, elapsed);
     aHandler(std::move(aReply));
   }
--- a/src/query/internal/querytypes.cpp
+++ b/src/query/internal/querytypes.cpp
@@ -62,14 +62,7 @@
   if (aAnswer.outcome != RequestOutcome::kAnswered) {
     return;
   }
-  std::size_t bucket = 0;
-  Duration bound = std::chrono::microseconds(100);
-  while (bucket + 1 < kLatencyBuckets && aElapsed >= bound) {
-    bound *= 2;
-    ++bucket;
-  }
-  this->latency[bucket]++;
-  this->latencySumNs += static_cast<std::uint64_t>(aElapsed.count());
+  this->latency.Add(aElapsed);
 }
 
 RequestAnswer
--- a/src/query/querystats.h
+++ b/src/query/querystats.h
@@ -9,7 +9,6 @@
 
 constexpr std::size_t kRequestReasons = static_cast<std::size_t>(RequestReason::kVersionChanged) + 1;
 constexpr std::size_t kRequestOutcomes = 3;
-constexpr std::size_t kLatencyBuckets = 24;
 
 /// Counters of a node's queries, shared by its request threads. Each counter is monotonic.
 struct QueryStats
@@ -30,9 +29,7 @@
   std::atomic<std::uint64_t> cancels{ 0 };
   std::atomic<std::uint64_t> partial{ 0 }; ///< answered with less than full coverage
   std::array<std::array<std::atomic<std::uint64_t>, kRequestReasons>, kRequestOutcomes> outcomes{};
-  /// Answer times; bucket i counts those under 2^i times 100 microseconds, the last bucket the rest.
-  std::array<std::atomic<std::uint64_t>, kLatencyBuckets> latency{};
-  std::atomic<std::uint64_t> latencySumNs{ 0 };
+  LatencyCounts latency; ///< of answered requests
 
   /// Counts one answer.
   void RecordAnswer(const RequestAnswer& aAnswer, Duration aElapsed);
