Bound calls at leafs and queries of a route by what ends in time

Cause: in a burst of four times the traffic leafs ran at their full rate, but half of all arrivals were refused as full, each query lacked some parts and failed with 502 after the others had worked for it, and callers repeated it at once. With slow leafs, every query waited in their queues whether it needed them or not.

Change: ConcurrencyLimit, a window that shrinks with late or refused calls and grows with those in time; one for each leaf and one for the queries of a route. A query that cannot be covered within the limits, or is beyond the bound of its route, is refused before anything is sent. One pause does not bound a leaf, and a bound without late calls doubles each second.

--- a/src/gateway/internal/callsender.cpp
+++ b/src/gateway/internal/callsender.cpp
@@ -26,7 +26,11 @@
 }
 
 std::uint64_t
-CallSender::Send(LeafCall aCall, Ref<RouteTimes> aTimes, bool aRepeated, Handler aHandler)
+CallSender::Send(LeafCall aCall,
+                 Ref<RouteTimes> aTimes,
+                 Duration aUsefulFor,
+                 bool aRepeated,
+                 Handler aHandler)
 {
   const std::uint64_t id = ++this->lastId;
   auto owned = std::make_unique<Call>();
@@ -36,9 +40,12 @@
   call.times = std::move(aTimes);
   call.expected = call.times->Typical();
   call.request = aCall.request;
+  call.usefulFor = aUsefulFor;
   call.repeated = aRepeated;
   call.handler = std::move(aHandler);
-  call.leaf->condition.OnSend(call, this->clock.Now());
+  const TimePoint now = this->clock.Now();
+  call.leaf->condition.OnSend(call, now);
+  call.leaf->limit.OnSend(now);
   this->calls.emplace(id, std::move(owned));
   aCall.id = id;
   this->exchange.Send(std::move(aCall),
@@ -53,9 +60,18 @@
   if (found == this->calls.end()) {
     return;
   }
-  found->second->handler = nullptr;
-  found->second->releasedAt = this->clock.Now();
+  Call& call = *found->second;
+  call.handler = nullptr;
+  call.releasedAt = this->clock.Now();
   ++this->released;
+  if (call.releasedAt - call.sentAt > call.usefulFor) {
+    this->LearnLimit(call, call.releasedAt - call.sentAt, call.releasedAt);
+  }
+  if (call.leaf->limit.Scarce()) {
+    // Work for nobody would take the room of requests that wait for this leaf.
+    this->Cancel(aCall);
+    return;
+  }
   this->ArmSweep();
 }
 
@@ -93,6 +109,7 @@
   }
   const TimePoint now = this->clock.Now();
   call->leaf->condition.OnUnreachable(call->sentAt, now);
+  this->LearnLimit(*call, now - call->sentAt, now);
   this->Log(*call, "no_answer", now - call->sentAt, {});
   this->exchange.Expire(aCall);
 }
@@ -122,9 +139,13 @@
     case LeafOutcome::kAnswered:
       aCall.times->Add(aResult.elapsed);
       condition.OnAnswer(aResult.elapsed, aCall.expected, now);
+      this->LearnLimit(aCall, now - aCall.sentAt, now);
       return;
-    case LeafOutcome::kFailed:
     case LeafOutcome::kNotRun:
+      condition.OnRefusal(now);
+      this->LearnLimit(aCall, Duration::zero(), now);
+      return;
+    case LeafOutcome::kFailed:
       condition.OnRefusal(now);
       return;
     case LeafOutcome::kMisdirected:
@@ -137,6 +158,30 @@
   }
 }
 
+void
+CallSender::LearnLimit(const Call& aCall, Duration aElapsed, TimePoint aNow)
+{
+  if (aCall.usefulFor <= Duration::zero()) {
+    return;
+  }
+  LeafHandle& leaf = *aCall.leaf;
+  const bool before = leaf.limit.Bounded();
+  if (aElapsed > Duration::zero() && aElapsed <= aCall.usefulFor) {
+    leaf.limit.OnInTime(aElapsed);
+  } else {
+    // The call itself is no longer among those in flight.
+    leaf.limit.OnCongested({ aCall.sentAt, aElapsed, aCall.usefulFor, leaf.condition.InFlight() + 1 }, aNow);
+  }
+  if (before != leaf.limit.Bounded() && this->log.Take(true)) {
+    LogEvent(LogLevel::kInfo,
+             "leaf_limit",
+             { { "leaf", leaf.spec.id },
+               { "service", leaf.spec.service },
+               { "bounded", !before },
+               { "window", leaf.limit.Window() } });
+  }
+}
+
 void
 CallSender::Log(const Call& aCall, const char* aOutcome, Duration aElapsed, const Error& aError)
 {
@@ -159,6 +204,7 @@
       { "wanted", aCall.handler ? 1 : 0 },
       { "elapsed_ms", milliseconds(aElapsed) },
       { "in_flight", condition.InFlight() },
+      { "window", aCall.leaf->limit.Bounded() ? aCall.leaf->limit.Window() : 0 },
       { "excluded_ms", milliseconds(std::max(Duration::zero(), Duration(condition.ExcludedUntil() - now))) },
       { "step", aError.step },
       { "detail", aError.detail } });
--- a/src/gateway/internal/callsender.h
+++ b/src/gateway/internal/callsender.h
@@ -23,10 +23,15 @@
 
   /// \param aCall call without an id
   /// \param aTimes of the route; learns from the answer
+  /// \param aUsefulFor an answer that takes longer shrinks the leaf's limit; zero for a call without a limit
   /// \param aRepeated another leaf got the request before
   /// \param aHandler called once with the call's id, unless the call is released or cancelled
   /// \return the call's id
-  std::uint64_t Send(LeafCall aCall, Ref<RouteTimes> aTimes, bool aRepeated, Handler aHandler);
+  std::uint64_t Send(LeafCall aCall,
+                     Ref<RouteTimes> aTimes,
+                     Duration aUsefulFor,
+                     bool aRepeated,
+                     Handler aHandler);
 
   /// Gives up interest in a call; it is cancelled when it does not end soon.
   void Release(std::uint64_t aCall);
@@ -44,6 +49,7 @@
     Ref<LeafHandle> leaf;
     Ref<RouteTimes> times;
     std::shared_ptr<const ForwardedRequest> request;
+    Duration usefulFor{ 0 };
     bool repeated = false;
     Handler handler;
     TimePoint releasedAt;
@@ -55,6 +61,8 @@
 
   void OnResult(std::uint64_t aCall, LeafResult aResult);
   void Learn(Call& aCall, const LeafResult& aResult);
+  /// Takes over into the leaf's limit how long a call took; zero when the leaf refused it.
+  void LearnLimit(const Call& aCall, Duration aElapsed, TimePoint aNow);
   void Log(const Call& aCall, const char* aOutcome, Duration aElapsed, const Error& aError);
   void Sweep();
   void ArmSweep();
--- /dev/null
+++ b/src/gateway/internal/concurrencylimit.cpp
@@ -0,0 +1,117 @@
+#include "gateway/concurrencylimit.h"
+#include <algorithm>
+#include <cmath>
+
+namespace yp {
+
+namespace {
+
+// A late call shrinks the window by how late it was, within these bounds.
+constexpr double kMostShrink = 0.4;
+constexpr double kLeastShrink = 0.8;
+constexpr double kRefusalShrink = 0.6;
+constexpr double kGrow = 0.03; // by an answer; as a part of a window below one call
+constexpr double kElapsedWeight = 0.2;
+// A single pause of a leaf makes the calls of one moment late; a bound needs lateness again soon after.
+constexpr double kStrikesToBound = 3;
+constexpr double kStrikeForgiven = 0.25; // by each answer in time
+constexpr double kDoublingSeconds = 1;   // of a window without a late call
+
+double
+ShrinkFor(const CongestedCall& aCall)
+{
+  if (aCall.elapsed <= Duration::zero()) {
+    return kRefusalShrink;
+  }
+  const double inTime =
+    static_cast<double>(aCall.usefulFor.count()) / static_cast<double>(aCall.elapsed.count());
+  return std::clamp(inTime, kMostShrink, kLeastShrink);
+}
+
+double
+Milliseconds(Duration aTime)
+{
+  return std::chrono::duration<double, std::milli>(aTime).count();
+}
+
+} // namespace
+
+ConcurrencyLimit::ConcurrencyLimit(const Options& aOptions)
+  : options(aOptions)
+{
+}
+
+void
+ConcurrencyLimit::OnSend(TimePoint aNow)
+{
+  this->lastSend = aNow;
+}
+
+void
+ConcurrencyLimit::OnInTime(Duration aElapsed)
+{
+  this->AddElapsed(aElapsed);
+  this->strikes = std::max(0.0, this->strikes - kStrikeForgiven);
+  if (this->bounded) {
+    this->window += kGrow * std::min(1.0, this->window);
+    this->bounded = this->window < this->options.open;
+  }
+}
+
+void
+ConcurrencyLimit::OnCongested(const CongestedCall& aCall, TimePoint aNow)
+{
+  this->AddElapsed(aCall.elapsed);
+  if (aCall.sentAt <= this->shrunkAt) {
+    return;
+  }
+  this->strikes += 1;
+  const double current = this->CurrentWindow(aNow);
+  this->shrunkAt = aNow;
+  if (this->strikes < kStrikesToBound && !this->bounded) {
+    return;
+  }
+  const double before =
+    this->bounded ? current
+                  : std::clamp(static_cast<double>(aCall.inFlight), this->options.first, this->options.open);
+  this->window = std::max(this->options.least, before * ShrinkFor(aCall));
+  this->bounded = true;
+}
+
+bool
+ConcurrencyLimit::Admits(std::size_t aInFlight, TimePoint aNow) const
+{
+  if (!this->bounded) {
+    return true;
+  }
+  const double allowed = this->CurrentWindow(aNow);
+  if (allowed >= 1) {
+    return static_cast<double>(aInFlight + 1) <= allowed;
+  }
+  return aInFlight == 0 && Milliseconds(aNow - this->lastSend) * allowed >= this->usualMs;
+}
+
+Duration
+ConcurrencyLimit::Usual() const
+{
+  return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(this->usualMs));
+}
+
+double
+ConcurrencyLimit::CurrentWindow(TimePoint aNow) const
+{
+  const double idle = std::chrono::duration<double>(aNow - this->shrunkAt).count();
+  return std::min(this->options.open, this->window * std::exp2(idle / kDoublingSeconds));
+}
+
+void
+ConcurrencyLimit::AddElapsed(Duration aElapsed)
+{
+  if (aElapsed <= Duration::zero()) {
+    return;
+  }
+  const double sample = Milliseconds(aElapsed);
+  this->usualMs = this->usualMs == 0 ? sample : this->usualMs + kElapsedWeight * (sample - this->usualMs);
+}
+
+} // namespace yp
--- a/src/gateway/internal/leafattempts.cpp
+++ b/src/gateway/internal/leafattempts.cpp
@@ -3,6 +3,13 @@
 
 namespace yp {
 
+namespace {
+
+// Part of the objective that a leaf may take; the rest is the way to the caller and back.
+constexpr int kUsefulPercent = 60;
+
+} // namespace
+
 void
 LeafAttempts::OnResult(std::uint64_t aCall, LeafOutcome aOutcome)
 {
@@ -24,7 +31,12 @@
   const TimePoint now = aContext.clock.Now();
   const RouteSpec& route = *aRequest.route;
   const bool extra = aPurpose == CallPurpose::kExtra;
-  const LeafNeed need{ aRequest.times->Typical(), route.objective, &aAttempts.used, extra };
+  LeafNeed need;
+  need.typical = aRequest.times->Typical();
+  need.objective = route.objective;
+  need.used = &aAttempts.used;
+  need.proven = extra;
+  need.withinLimit = route.Scatter();
   LeafHandle* leaf = ChooseLeaf(aContext.leafs.Leafs(aService), need, aContext.options, aContext.random, now);
   if (leaf == nullptr || (!aTakeExcluded && leaf->condition.Excluded(now))) {
     return false;
@@ -45,8 +57,9 @@
   call.deadline = aRequest.deadline;
   call.freshConnection = !route.idempotent;
   const bool repeated = aPurpose != CallPurpose::kFirst;
+  const Duration usefulFor = need.withinLimit ? route.objective * kUsefulPercent / 100 : Duration::zero();
   aAttempts.calls.push_back(
-    aContext.sender.Send(std::move(call), aRequest.times, repeated, std::move(aHandler)));
+    aContext.sender.Send(std::move(call), aRequest.times, usefulFor, repeated, std::move(aHandler)));
   return true;
 }
 
--- a/src/gateway/internal/leafchoice.cpp
+++ b/src/gateway/internal/leafchoice.cpp
@@ -30,6 +30,9 @@
 {
   double expected =
     static_cast<double>(aLeaf.condition.Expected(aNeed.typical, aLeaf.spec.slots, aNow).count());
+  if (aLeaf.limit.Scarce()) {
+    expected = std::max(expected, static_cast<double>(aLeaf.limit.Usual().count()));
+  }
   expected *= aNow < aLeaf.warmUntil ? kColdFactor : 1;
   expected *= 1 + kJitter * aJitter;
   Duration cost{ static_cast<Duration::rep>(expected) };
@@ -57,6 +60,9 @@
     if (!leaf->Open() || Used(aNeed, leaf.get())) {
       continue;
     }
+    if (aNeed.withinLimit && !leaf->limit.Admits(leaf->condition.InFlight(), aNow)) {
+      continue;
+    }
     if (aNeed.proven && (leaf->condition.Silent(aNow) || leaf->condition.Excluded(aNow))) {
       continue;
     }
@@ -77,4 +83,13 @@
   });
 }
 
+bool
+HasRoom(const std::vector<Ref<LeafHandle>>& aLeafs, TimePoint aNow)
+{
+  return std::any_of(aLeafs.begin(), aLeafs.end(), [aNow](const Ref<LeafHandle>& aLeaf) {
+    return aLeaf->Open() && !aLeaf->condition.Excluded(aNow) &&
+           aLeaf->limit.Admits(aLeaf->condition.InFlight(), aNow);
+  });
+}
+
 } // namespace yp
--- a/src/gateway/internal/leafchoice.h
+++ b/src/gateway/internal/leafchoice.h
@@ -13,6 +13,7 @@
   Duration objective{ 0 };                            ///< of the route
   const std::vector<Ref<LeafHandle>>* used = nullptr; ///< leafs that got the request; not chosen again
   bool proven = false;                                ///< only leafs that answer now, for a repeated request
+  bool withinLimit = false;                           ///< only leafs that are likely to answer in time
 };
 
 /// Chooses the leaf that is expected to answer first. A leaf in another failure domain has to be faster by
@@ -29,6 +30,10 @@
 bool
 HasUsableLeaf(const std::vector<Ref<LeafHandle>>& aLeafs, TimePoint aNow);
 
+/// \return whether a service has a usable leaf that is likely to answer one more request in time
+bool
+HasRoom(const std::vector<Ref<LeafHandle>>& aLeafs, TimePoint aNow);
+
 } // namespace yp
 
 #endif
--- a/src/gateway/internal/scatterrunner.cpp
+++ b/src/gateway/internal/scatterrunner.cpp
@@ -14,9 +14,17 @@
 // A shard without leafs comes back with a new registration or the end of a leaf's exclusion.
 constexpr Duration kShardsRetry = std::chrono::milliseconds(250);
 constexpr double kRounding = 1e-9;
+// Queries of a route on one node: the usual load needs fewer than the first figure, and a few slow leafs must
+// not stop it, hence the second.
+constexpr ConcurrencyLimit::Options kRouteLimit{ 4, 2, 64 };
 
 } // namespace
 
+ScatterRunner::RouteLoad::RouteLoad()
+  : limit(kRouteLimit)
+{
+}
+
 ScatterRunner::ScatterRunner(RunnerContext& aContext, RunnerFinished aFinished)
   : context(aContext)
   , finished(std::move(aFinished))
@@ -30,22 +38,32 @@
   const RouteSpec& route = *aRequest.route;
   const TimePoint now = this->context.clock.Now();
   std::size_t usable = 0;
+  std::size_t withRoom = 0;
   for (const std::string& shard : route.shards) {
     this->context.budget.OnRequest(shard);
-    usable += HasUsableLeaf(this->context.leafs.Leafs(shard), now) ? 1 : 0;
+    const std::vector<Ref<LeafHandle>>& leafs = this->context.leafs.Leafs(shard);
+    usable += HasUsableLeaf(leafs, now) ? 1 : 0;
+    withRoom += HasRoom(leafs, now) ? 1 : 0;
   }
   const double share = route.minCoverage * static_cast<double>(route.shards.size());
   const std::size_t needed = std::max<std::size_t>(1, static_cast<std::size_t>(std::ceil(share - kRounding)));
-  if (usable < needed) {
-    GatewayReply refusal = Refusal("shards_unreachable", kShardsRetry, this->context.random);
-    refusal.missing = route.shards.size() - usable;
+  RouteLoad& load = this->loads[route.name];
+  if (withRoom < needed) {
+    const char* reason = usable < needed ? "shards_unreachable" : "shards_busy";
+    GatewayReply refusal = Refusal(reason, kShardsRetry, this->context.random);
+    refusal.missing = route.shards.size() - withRoom;
     return refusal;
   }
+  if (!load.limit.Admits(load.inFlight, now)) {
+    return Refusal("overload", kShardsRetry, this->context.random);
+  }
   auto owned = std::make_unique<Run>(route.topRecords);
   owned->request = std::move(aRequest);
   owned->needed = needed;
   owned->parts.resize(route.shards.size());
   Run& run = this->runs.Add(std::move(owned));
+  load.limit.OnSend(now);
+  ++load.inFlight;
   for (std::size_t part = 0; part < run.parts.size(); ++part) {
     if (!this->Send(run, part, CallPurpose::kFirst)) {
       run.parts[part].failed = true;
@@ -245,9 +263,32 @@
       this->context.sender.Release(call);
     }
   }
+  this->LearnLoad(*run, aReply.outcome == GatewayOutcome::kMerged);
   this->finished(run->request, std::move(aReply));
 }
 
+void
+ScatterRunner::LearnLoad(const Run& aRun, bool aCovered)
+{
+  const RouteSpec& route = *aRun.request.route;
+  RouteLoad& load = this->loads[route.name];
+  const bool before = load.limit.Bounded();
+  const TimePoint now = this->context.clock.Now();
+  // A caller's second attempt may begin after its objective; only its own time tells of the load.
+  const Duration elapsed = now - aRun.request.received;
+  if (aCovered && elapsed <= route.objective) {
+    load.limit.OnInTime(elapsed);
+  } else {
+    load.limit.OnCongested({ aRun.request.received, elapsed, route.objective, load.inFlight }, now);
+  }
+  --load.inFlight;
+  if (before != load.limit.Bounded()) {
+    LogEvent(LogLevel::kInfo,
+             "route_limit",
+             { { "route", route.name }, { "bounded", !before }, { "window", load.limit.Window() } });
+  }
+}
+
 void
 ScatterRunner::Abandon(std::uint64_t aHandle)
 {
@@ -255,6 +296,7 @@
   if (!run) {
     return;
   }
+  --this->loads[run->request.route->name].inFlight;
   for (const Part& part : run->parts) {
     for (const std::uint64_t call : part.attempts.calls) {
       this->context.sender.Cancel(call);
--- a/src/gateway/internal/scatterrunner.h
+++ b/src/gateway/internal/scatterrunner.h
@@ -3,6 +3,7 @@
 
 #include "gateway/internal/leafattempts.h"
 #include "gateway/recordmerge.h"
+#include <map>
 #include <optional>
 #include <set>
 
@@ -64,9 +65,22 @@
   void Fail(Run& aRun, GatewayOutcome aOutcome, const char* aReason);
   void Finish(Run& aRun, GatewayReply aReply);
 
+  /// The queries of one route on this node.
+  struct RouteLoad
+  {
+    RouteLoad();
+
+    ConcurrencyLimit limit;
+    std::size_t inFlight = 0;
+  };
+
+  /// Takes over how a query ended into the bound of its route.
+  void LearnLoad(const Run& aRun, bool aCovered);
+
   RunnerContext& context;
   RunnerFinished finished;
   RunTable<Run> runs;
+  std::map<std::string, RouteLoad> loads; ///< by route
 };
 
 } // namespace yp
--- a/src/gateway/leafdirectory.h
+++ b/src/gateway/leafdirectory.h
@@ -2,6 +2,7 @@
 #define YP_GATEWAY_LEAFDIRECTORY_H
 
 #include "framework/global/global.h"
+#include "gateway/concurrencylimit.h"
 #include <boost/intrusive/list.hpp>
 #include <map>
 #include <string>
@@ -94,6 +95,7 @@
 {
   LeafRegistration spec;
   LeafCondition condition;
+  ConcurrencyLimit limit;
   TimePoint warmUntil;    ///< slow before it
   bool withdrawn = false; ///< no longer registered, or its address belongs to another leaf
 
