Take over changed settings without a signal, and survive a reload signal during the start

A reload took over the log level only, and a change without a signal was not noticed. SettingsWatch looks at the file each second; a node takes over seeds, the bound on extra load, the remote penalty, times, and logs the names of those that need a restart. Invalid files change nothing.

--- a/src/framework/global/global.h
+++ b/src/framework/global/global.h
@@ -17,6 +17,8 @@
 #include "framework/global/random.h"
 #include "framework/global/rcucell.h"
 #include "framework/global/settingsfile.h"
+#include "framework/global/settingswatch.h"
+#include "framework/global/signals.h"
 #include "framework/global/version.h"
 
 #endif
--- a/src/gateway/igateway.h
+++ b/src/gateway/igateway.h
@@ -84,6 +84,9 @@
   /// \return the configuration in force; null before the first
   virtual Ref<const RoutingState> Routing() const = 0;
 
+  /// Takes over changed settings; the failure domain stays.
+  virtual void SetOptions(const GatewayOptions& aOptions) = 0;
+
   /// Sets the part of the fleet's extra load that this node may cause, above 0, at most 1.
   virtual void SetExtraLoadShare(double aShare) = 0;
 
--- a/src/gateway/internal/extraloadshare.cpp
+++ b/src/gateway/internal/extraloadshare.cpp
@@ -15,15 +15,22 @@
 } // namespace
 
 ExtraLoadShare::ExtraLoadShare(double aRatio, double aSlack)
-  : ratio(aRatio * kRatioUsed)
-  , slack(aSlack * kSlackUsed)
 {
-  this->SetShare(1);
+  this->SetBounds(aRatio, aSlack);
+}
+
+void
+ExtraLoadShare::SetBounds(double aRatio, double aSlack)
+{
+  this->ratio = aRatio * kRatioUsed;
+  this->slack = aSlack * kSlackUsed;
+  this->SetShare(this->share);
 }
 
 void
 ExtraLoadShare::SetShare(double aShare)
 {
+  this->share = aShare;
   this->capacity = std::max(kSmallestCapacity, this->slack * aShare);
   for (auto& [service, tokens] : this->buckets) {
     tokens = std::min(tokens, this->capacity);
--- a/src/gateway/internal/extraloadshare.h
+++ b/src/gateway/internal/extraloadshare.h
@@ -15,6 +15,9 @@
 public:
   ExtraLoadShare(double aRatio, double aSlack);
 
+  /// Replaces the fleet's bound.
+  void SetBounds(double aRatio, double aSlack);
+
   /// \param aShare part of the fleet's slack for this node, above 0, at most 1
   void SetShare(double aShare);
 
@@ -28,8 +31,9 @@
 private:
   double& Bucket(const std::string& aService);
 
-  const double ratio;
-  const double slack;
+  double ratio = 0;
+  double slack = 0;
+  double share = 1;
   double capacity = 0;
   std::unordered_map<std::string, double> buckets;
 };
--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -86,6 +86,14 @@
 
   Ref<const RoutingState> Routing() const override { return this->routing; }
 
+  void SetOptions(const GatewayOptions& aOptions) override
+  {
+    this->options.extraLoadRatio = aOptions.extraLoadRatio;
+    this->options.extraLoadSlack = aOptions.extraLoadSlack;
+    this->options.remotePenaltyShare = aOptions.remotePenaltyShare;
+    this->budget.SetBounds(aOptions.extraLoadRatio, aOptions.extraLoadSlack);
+  }
+
   void SetExtraLoadShare(double aShare) override { this->budget.SetShare(aShare); }
 
   std::uint64_t Start(GatewayRequest aRequest, Handler aHandler) override
@@ -188,7 +196,7 @@
     aHandler(std::move(aReply));
   }
 
-  const GatewayOptions options;
+  GatewayOptions options;
   ILeafExchange& exchange;
   const IClock& clock;
   IRandom& random;
--- a/src/gateway/tests/gateway_tests.cpp
+++ b/src/gateway/tests/gateway_tests.cpp
@@ -223,6 +223,21 @@
   REQUIRE(world.gateway->Stats().extraCalls <= 0.2 * 100 + 5.4);
 }
 
+TEST_CASE("A changed bound on extra load holds for what comes after it", "[budget][settings]")
+{
+  GatewayWorld world;
+  GatewayOptions options;
+  options.extraLoadRatio = 0;
+  options.extraLoadSlack = 0;
+  world.gateway->SetOptions(options);
+  world.exchange.script = Always(LeafOutcome::kFailed, milliseconds(1));
+  for (int i = 0; i < 100; ++i) {
+    world.Ask("/one/x");
+    world.timers.RunFor(milliseconds(10));
+  }
+  REQUIRE(world.gateway->Stats().extraCalls <= 1);
+}
+
 TEST_CASE("A request whose leafs are all out of reach is refused at once", "[refusal][dark]")
 {
   GatewayWorld world;
--- a/src/gossip/gossip.h
+++ b/src/gossip/gossip.h
@@ -31,6 +31,9 @@
   /// Begins to probe. Until a peer answers, the seeds are asked.
   virtual void Start() = 0;
 
+  /// Replaces the nodes that are asked while no peer answers.
+  virtual void SetSeeds(std::vector<Endpoint> aSeeds) = 0;
+
   virtual void SetOwnState(PeerState aState) = 0;
 
   /// Tells others that this node cannot reach the source of changes, or reaches it again.
--- a/src/gossip/internal/gossipnode.cpp
+++ b/src/gossip/internal/gossipnode.cpp
@@ -46,6 +46,12 @@
 
   void Start() override { this->Round(); }
 
+  void SetSeeds(std::vector<Endpoint> aSeeds) override
+  {
+    this->options.seeds = std::move(aSeeds);
+    this->AskSeeds();
+  }
+
   void SetOwnState(PeerState aState) override
   {
     if (this->table.Own().state == aState) {
@@ -310,7 +316,7 @@
     }
   }
 
-  const GossipOptions options;
+  GossipOptions options;
   IDatagrams& datagrams;
   ITimers& timers;
   const IClock& clock;
--- a/src/gossip/tests/gossip_tests.cpp
+++ b/src/gossip/tests/gossip_tests.cpp
@@ -74,6 +74,25 @@
   REQUIRE(fleet.AllSee(6, PeerState::kReady));
 }
 
+// Guards against two groups that started from different seeds and never meet.
+TEST_CASE("New seeds join two groups of nodes that did not know each other", "[gossip][settings]")
+{
+  FakeFleet fleet;
+  fleet.seeds = { FakeFleet::Address(0) };
+  fleet.StartNode(0);
+  fleet.StartNode(1);
+  fleet.seeds = { FakeFleet::Address(2) };
+  fleet.StartNode(2);
+  fleet.StartNode(3);
+  fleet.timers.RunFor(seconds(3));
+  REQUIRE(fleet.Gossip(0).Peers().size() == 2);
+  fleet.Gossip(1).SetSeeds({ FakeFleet::Address(3) });
+  fleet.timers.RunFor(seconds(2));
+  for (std::size_t host = 0; host < 4; ++host) {
+    REQUIRE(fleet.AllSee(host, PeerState::kReady));
+  }
+}
+
 TEST_CASE("A node whose clock was set back joins again after a restart", "[gossip][clock]")
 {
   FakeFleet fleet;
