Make nodes ready sooner after a loss of all power

Cause: after its start a node waited 200 ms for peers before it decided whether to read the store, and 150 ms more in case a watch had something newer; until then it refused callers.

Ruled out: the two seconds after the fault themselves, in which the machines are off.

--- a/src/changefeed/internal/changerelay.cpp
+++ b/src/changefeed/internal/changerelay.cpp
@@ -7,7 +7,7 @@
 
 constexpr Duration kInterval = std::chrono::milliseconds(500);
 // Peers answer the first question for other nodes within this time after the start.
-constexpr Duration kFirstDecision = std::chrono::milliseconds(200);
+constexpr Duration kFirstDecision = std::chrono::milliseconds(100);
 // Without a confirmation for this long a node reads by itself. A reader confirms at least each second, and it
 // takes two steps of half a second to reach every node.
 constexpr Duration kStale = std::chrono::milliseconds(2200);
