--- a/src/gateway/igateway.h
+++ b/src/gateway/igateway.h
@@ -65,6 +65,8 @@
   std::atomic<std::uint64_t> firstCalls{ 0 };
   std::atomic<std::uint64_t> extraCalls{ 0 };
   std::atomic<std::uint64_t> extraRefused{ 0 }; ///< repeated calls that the budget did not allow
+  std::atomic<std::uint64_t> leafBounds{ 0 };   ///< times that calls to a leaf became bounded
+  std::atomic<std::uint64_t> routeBounds{ 0 };  ///< times that the queries of a route became bounded
   std::atomic<std::uint64_t> partsMissing{ 0 };
   std::atomic<std::uint64_t> callersGone{ 0 };
 };
--- a/src/gateway/internal/callsender.cpp
+++ b/src/gateway/internal/callsender.cpp
@@ -12,11 +12,12 @@
 
 } // namespace
 
-CallSender::CallSender(const GatewayParts& aParts, LogBudget& aLog)
+CallSender::CallSender(const GatewayParts& aParts, LogBudget& aLog, GatewayStats& aStats)
   : exchange(aParts.exchange)
   , timers(aParts.timers)
   , clock(aParts.clock)
   , log(aLog)
+  , stats(aStats)
 {
 }
 
@@ -172,6 +173,7 @@
     // The call itself is no longer among those in flight.
     leaf.limit.OnCongested({ aCall.sentAt, aElapsed, aCall.usefulFor, leaf.condition.InFlight() + 1 }, aNow);
   }
+  this->stats.leafBounds += !before && leaf.limit.Bounded() ? 1 : 0;
   if (before != leaf.limit.Bounded() && this->log.Take(true)) {
     LogEvent(LogLevel::kInfo,
              "leaf_limit",
--- a/src/gateway/internal/callsender.h
+++ b/src/gateway/internal/callsender.h
@@ -15,8 +15,8 @@
 public:
   using Handler = std::function<void(std::uint64_t, LeafResult)>;
 
-  /// \param aLog outlives the sender
-  CallSender(const GatewayParts& aParts, LogBudget& aLog);
+  /// \param aLog, aStats outlive the sender
+  CallSender(const GatewayParts& aParts, LogBudget& aLog, GatewayStats& aStats);
   ~CallSender();
   CallSender(const CallSender&) = delete;
   CallSender& operator=(const CallSender&) = delete;
@@ -71,6 +71,7 @@
   ITimers& timers;
   const IClock& clock;
   LogBudget& log;
+  GatewayStats& stats;
   std::uint64_t lastId = 0;
   std::unordered_map<std::uint64_t, std::unique_ptr<Call>> calls;
   std::size_t released = 0;
--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -59,7 +59,7 @@
     , clock(aParts.clock)
     , random(aParts.random)
     , log(aParts.clock)
-    , sender(aParts, this->log)
+    , sender(aParts, this->log, this->stats)
     , budget(aOptions.extraLoadRatio, aOptions.extraLoadSlack)
     , context{ this->sender,  aParts.leafs, aParts.timers, aParts.clock,
                aParts.random, this->budget, this->options, this->stats }
--- a/src/gateway/internal/scatterrunner.cpp
+++ b/src/gateway/internal/scatterrunner.cpp
@@ -282,6 +282,7 @@
     load.limit.OnCongested({ aRun.request.received, elapsed, route.objective, load.inFlight }, now);
   }
   --load.inFlight;
+  this->context.stats.routeBounds += !before && load.limit.Bounded() ? 1 : 0;
   if (before != load.limit.Bounded()) {
     LogEvent(LogLevel::kInfo,
              "route_limit",
