--- a/src/changefeed/internal/changebatch.cpp
+++ b/src/changefeed/internal/changebatch.cpp
@@ -7,6 +7,8 @@
 
 constexpr std::size_t kBatchFields = 4;
 constexpr std::size_t kChangeFields = 5;
+constexpr std::size_t kPackedFields = 2;   // size and compressed bytes
+constexpr std::size_t kCompressFrom = 400; // bytes; smaller batches fit in a packet anyway
 constexpr CodecLimits kBatchLimits{ 16 * 1024 * 1024, 8 };
 
 Json::binary_t
@@ -15,15 +17,21 @@
   return Json::binary_t({ aBytes.begin(), aBytes.end() });
 }
 
+std::string
+FromBinary(const Json& aValue)
+{
+  const Json::binary_t& bytes = aValue.get_binary();
+  return { bytes.begin(), bytes.end() };
+}
+
 Change
 ChangeOf(const Json& aValue)
 {
   if (!aValue.is_array() || aValue.size() != kChangeFields) {
     throw std::runtime_error("a change has another number of fields");
   }
-  const Json::binary_t& bytes = aValue[4].get_binary();
   return Change{ aValue[0].get<std::string>(),
-                 std::string(bytes.begin(), bytes.end()),
+                 FromBinary(aValue[4]),
                  aValue[1].get<std::uint64_t>(),
                  aValue[2].get<bool>(),
                  aValue[3].get<bool>() };
@@ -58,7 +66,10 @@
                                     change.mayReturn,
                                     Json::binary(ToBinary(change.value)) }));
   }
-  return EncodeCbor(Json::array({ aBatch.after, aBatch.upTo, aBatch.whole, std::move(changes) }));
+  std::string plain =
+    EncodeCbor(Json::array({ aBatch.after, aBatch.upTo, aBatch.whole, std::move(changes) }));
+  const std::optional<std::string> packed = plain.size() < kCompressFrom ? std::nullopt : Compress(plain);
+  return packed ? EncodeCbor(Json::array({ plain.size(), Json::binary(ToBinary(*packed)) })) : plain;
 }
 
 Result<ChangeBatch>
@@ -66,7 +77,16 @@
 {
   BOOST_LEAF_AUTO(value, ParseCbor(aBytes, kBatchLimits));
   try {
-    return BatchOf(value);
+    if (!value.is_array() || value.size() != kPackedFields) {
+      return BatchOf(value);
+    }
+    const auto size = value[0].get<std::uint64_t>();
+    if (size > kBatchLimits.maxBytes) {
+      return Fail(ErrorCode::kBadInput, "changefeed.decode", "", "too large a batch");
+    }
+    BOOST_LEAF_AUTO(plain, Decompress(FromBinary(value[1]), size));
+    BOOST_LEAF_AUTO(batch, ParseCbor(plain, kBatchLimits));
+    return BatchOf(batch);
   } catch (const std::exception& error) {
     return Fail(ErrorCode::kBadInput, "changefeed.decode", "", error.what());
   }
--- a/src/changefeed/tests/changefeed_tests.cpp
+++ b/src/changefeed/tests/changefeed_tests.cpp
@@ -1,6 +1,7 @@
 #include "changefeed/changefeed.h"
 #include "gossip/tests/fakefleet.h"
 #include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
 
 namespace yp {
 
@@ -197,6 +198,47 @@
   REQUIRE(equal);
 }
 
+// Guards against a reshard of a large deployment that costs each node its links' bandwidth.
+TEST_CASE("A batch of 405 registrations is sent in a fifth of their size, and is whole again",
+          "[changelog][scale]")
+{
+  ChangeBatch batch{ 3, 500, false, false, {} };
+  std::size_t size = 0;
+  for (std::uint64_t i = 0; i < 405; ++i) {
+    const std::string value =
+      R"({"service":"shard)" + std::to_string(i / 3) + R"(","address":"10.1.64.)" + std::to_string(i % 250) +
+      R"(:8204","zone":"z","version":"v1","concurrency":2,"state":"ready","warmupLeftMs":0})";
+    size += value.size();
+    batch.changes.push_back(Change{ "servers/i-" + std::to_string(i * 7919), value, 4 + i, false, false });
+  }
+  const std::string bytes = EncodeBatch(batch);
+  REQUIRE(bytes.size() < size / 5);
+  const std::size_t decoded = Recover(
+    [&]() -> Result<std::size_t> {
+      BOOST_LEAF_AUTO(whole, DecodeBatch(bytes));
+      return whole.changes.back().value == batch.changes.back().value ? whole.changes.size() : 0;
+    },
+    [](const Error&) { return std::size_t(0); });
+  REQUIRE(decoded == 405);
+}
+
+// Guards against a peer whose bytes make a node take unbounded memory or end.
+TEST_CASE("Malformed compressed batches are refused", "[changelog]")
+{
+  const auto refused = [](const Json& aMessage) {
+    return Recover(
+      [&]() -> Result<bool> {
+        BOOST_LEAF_CHECK(DecodeBatch(EncodeCbor(aMessage)));
+        return false;
+      },
+      [](const Error& aError) { return aError.code == ErrorCode::kBadInput; });
+  };
+  const Json noise = Json::binary(Json::binary_t(std::vector<std::uint8_t>{ 1, 2, 3 }));
+  REQUIRE(refused(Json::array({ 100, noise })));
+  REQUIRE(refused(Json::array({ std::uint64_t(1) << 40, noise })));
+  REQUIRE(refused(Json::array({ -1, noise })));
+}
+
 TEST_CASE("Three of eighty nodes read, and a change reaches all within a second and a half", "[relay][scale]")
 {
   FeedFleet fleet;
--- a/src/framework/global/codec.h
+++ b/src/framework/global/codec.h
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <nlohmann/json_fwd.hpp>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -36,6 +37,17 @@
 std::string
 EncodeCbor(const Json& aValue);
 
+/// Compresses bytes with zstd.
+/// \return the compressed bytes; nothing when they would not be smaller
+std::optional<std::string>
+Compress(std::string_view aBytes);
+
+/// Undoes Compress.
+/// \param aSize size of the original, which bounds the memory taken; checked by the caller
+/// \return the original; kBadInput when the bytes are malformed or of another size
+Result<std::string>
+Decompress(std::string_view aPacked, std::size_t aSize);
+
 } // namespace yp
 
 #endif
--- a/src/framework/global/internal/codec.cpp
+++ b/src/framework/global/internal/codec.cpp
@@ -2,11 +2,14 @@
 #include <algorithm>
 #include <nlohmann/json.hpp>
 #include <unordered_set>
+#include <zstd.h>
 
 namespace yp {
 
 namespace {
 
+constexpr int kCompressionLevel = 1;
+
 /// The keys of one object. Most objects have few keys, for which a search in a vector is faster than a tree
 /// or a hash.
 class KeySet
@@ -181,4 +184,28 @@
   return bytes;
 }
 
+std::optional<std::string>
+Compress(std::string_view aBytes)
+{
+  std::string packed(ZSTD_compressBound(aBytes.size()), '\0');
+  const std::size_t size =
+    ZSTD_compress(packed.data(), packed.size(), aBytes.data(), aBytes.size(), kCompressionLevel);
+  if (ZSTD_isError(size) != 0 || size >= aBytes.size()) {
+    return std::nullopt;
+  }
+  packed.resize(size);
+  return packed;
+}
+
+Result<std::string>
+Decompress(std::string_view aPacked, std::size_t aSize)
+{
+  std::string bytes(aSize, '\0');
+  const std::size_t written = ZSTD_decompress(bytes.data(), bytes.size(), aPacked.data(), aPacked.size());
+  if (ZSTD_isError(written) != 0 || written != aSize) {
+    return Fail(ErrorCode::kBadInput, "codec.zstd", "", "compressed bytes are malformed");
+  }
+  return bytes;
+}
+
 } // namespace yp
--- a/src/overlay/internal/messages.cpp
+++ b/src/overlay/internal/messages.cpp
@@ -2,7 +2,6 @@
 #include <functional>
 #include <limits>
 #include <nlohmann/json.hpp>
-#include <zstd.h>
 
 namespace yp {
 
@@ -16,7 +15,6 @@
 constexpr std::uint64_t kMaxListingParts = 64;
 constexpr std::size_t kCompressFrom = 1024;
 // Level 1: bodies are compressed on the control thread.
-constexpr int kCompressionLevel = 1;
 constexpr std::size_t kIncarnationBytes = 24;
 constexpr std::size_t kHashBytes = 8;
 // Sequences are raised by one; the bound keeps a malformed one from overflowing at the owner.
@@ -54,14 +52,8 @@
   if (aBytes.size() <= kCompressFrom) {
     return Binary(aBytes);
   }
-  std::string packed(ZSTD_compressBound(aBytes.size()), '\0');
-  const std::size_t size =
-    ZSTD_compress(packed.data(), packed.size(), aBytes.data(), aBytes.size(), kCompressionLevel);
-  if (ZSTD_isError(size) != 0 || size >= aBytes.size()) {
-    return Binary(aBytes);
-  }
-  packed.resize(size);
-  return Json::array({ aBytes.size(), Binary(packed) });
+  const std::optional<std::string> packed = Compress(aBytes);
+  return packed ? Json::array({ aBytes.size(), Binary(*packed) }) : Binary(aBytes);
 }
 
 /// Reads the fields of a map. The first field that is absent or wrong marks the reader as failed; later
@@ -171,13 +163,11 @@
     if (this->Failed()) {
       return "";
     }
-    std::string bytes(size, '\0');
-    const std::size_t written = ZSTD_decompress(bytes.data(), bytes.size(), packed.data(), packed.size());
-    if (ZSTD_isError(written) != 0 || written != size) {
-      this->Mark("compressed bytes are malformed");
-      return "";
-    }
-    return bytes;
+    return Recover([&]() { return Decompress(packed, size); },
+                   [this](const Error& aError) {
+                     this->Mark(aError.detail);
+                     return std::string();
+                   });
   }
 
   template<class T>
