Add yuccaspoolctl trace: a request's lines across the nodes' log files

The lines of one request were found by searching each file; what a node believed of the leafs they name stood somewhere before. The command prints both in the order of time.

--- a/src/changefeed/tests/changefeed_tests.cpp
+++ b/src/changefeed/tests/changefeed_tests.cpp
@@ -207,7 +207,7 @@
   for (std::uint64_t i = 0; i < 405; ++i) {
     const std::string value =
       R"({"service":"shard)" + std::to_string(i / 3) + R"(","address":"10.1.64.)" + std::to_string(i % 250) +
-      R"(:8204","zone":"z","version":"v1","concurrency":2,"state":"ready","warmupLeftMs":0})";
+      R"(:8204","zone":"z","version":"v1","concurrency":2,"state":"ready","sequence":1})";
     size += value.size();
     batch.changes.push_back(Change{ "servers/i-" + std::to_string(i * 7919), value, 4 + i, false, false });
   }
--- a/src/ctl/internal/commandline.cpp
+++ b/src/ctl/internal/commandline.cpp
@@ -32,6 +32,7 @@
   commands.push_back(std::make_unique<LintCommand>());
   commands.push_back(std::make_unique<StateCommand>());
   commands.push_back(std::make_unique<DiffCommand>());
+  commands.push_back(std::make_unique<TraceCommand>());
   commands.push_back(std::make_unique<InForceCommand>());
   commands.push_back(std::make_unique<StatusCommand>());
   commands.push_back(std::make_unique<NodesCommand>());
--- a/src/ctl/internal/commands.h
+++ b/src/ctl/internal/commands.h
@@ -38,6 +38,18 @@
   ExitCode Run(const std::vector<std::string>& aArguments, const CommandOutput& aOutput) override;
 };
 
+/// Follows one request through the log files of the nodes.
+class TraceCommand final : public ICommand
+{
+public:
+  std::string Name() const override { return "trace"; }
+  std::string Summary() const override
+  {
+    return "show a request's log lines, and what its nodes believed of the leafs that they name";
+  }
+  ExitCode Run(const std::vector<std::string>& aArguments, const CommandOutput& aOutput) override;
+};
+
 /// Asks one node's admin interface and prints the reply.
 class NodeCommand : public ICommand
 {
--- a/src/ctl/tests/ctl_tests.cpp
+++ b/src/ctl/tests/ctl_tests.cpp
@@ -108,3 +108,28 @@
   CHECK(Execute({ "--help" }).code == ExitCode::kSuccess);
   CHECK(Execute({ "in-force", "--help" }).out.find("--ticket") != std::string::npos);
 }
+
+// Guards against a complaint that cannot be followed across nodes, or only with the lines in the wrong order.
+TEST_CASE("trace shows a request's lines of all nodes by time, with what they believed of its leafs")
+{
+  const TemporaryFile one(
+    "time=T1 level=info event=leaf_limit process=n1 leaf=l1 bounded=1 window=0.5\n"
+    "time=T2 level=info event=leaf_limit process=n1 leaf=l2 bounded=1 window=0.7\n"
+    "time=T5 level=info event=leaf_call process=n1 id=r1 leaf=l1 outcome=lost detail=\"End of file\"\n"
+    "time=T6 level=info event=request process=n1 id=r2 outcome=merged\n");
+  const TemporaryFile two(
+    "no line of ours\ntime=T4 level=info event=request process=n2 id=r1 outcome=refused\n");
+  const Run run = Execute({ "trace", "r1", one.path, two.path });
+  CHECK(run.code == ExitCode::kSuccess);
+  const std::size_t belief = run.out.find("time=T1");
+  const std::size_t other = run.out.find("time=T4");
+  const std::size_t call = run.out.find("time=T5");
+  CHECK(belief < other);
+  CHECK(other < call);
+  CHECK(call != std::string::npos);
+  CHECK(run.out.find("l2") == std::string::npos);
+  CHECK(run.out.find("id=r2") == std::string::npos);
+  CHECK(Execute({ "trace", "r9", one.path }).code == ExitCode::kNegative);
+  CHECK(Execute({ "trace", "r1" }).code == ExitCode::kUsage);
+  CHECK(Execute({ "trace", "r1", "/nonexistent" }).code == ExitCode::kUsage);
+}
