--- a/src/changefeed/changelog.h
+++ b/src/changefeed/changelog.h
@@ -43,13 +43,6 @@
   /// \return the changes after a revision, or everything when they are not kept any more
   ChangeBatch Since(std::uint64_t aRevision) const;
 
-  /// \return the last change of a key that has a value; null when it has none
-  const Change* Find(const std::string& aKey) const
-  {
-    const auto found = this->values.find(aKey);
-    return found == this->values.end() ? nullptr : &found->second;
-  }
-
   std::uint64_t Revision() const { return this->revision; }
 
 private:
