--- a/src/gateway/concurrencylimit.h
+++ b/src/gateway/concurrencylimit.h
@@ -5,7 +5,7 @@
 
 namespace yp {
 
-/// A call that shows that its leaf has more work than it can do in time.
+/// A call or query that shows that there is more work than can be done in time.
 struct CongestedCall
 {
   TimePoint sentAt;
@@ -14,10 +14,10 @@
   std::size_t inFlight = 0; ///< calls at the leaf, with this one
 };
 
-/// Bounds the calls that this node has in flight at one leaf to what the leaf answers in time. The window
-/// shrinks with each call that was refused or came too late and grows with each that came in time. Other
-/// nodes use the leaf too, so it may be less than one call; then calls are spaced out. Without a call that
-/// was too late there is no bound.
+/// Bounds the calls that this node has in flight at one leaf, or the queries of one route, to what ends in
+/// time. The window shrinks with each call that was refused or came too late and grows with each that came in
+/// time. Other nodes use the leaf too, so it may be less than one call; then calls are spaced out. Without a
+/// call that was too late there is no bound.
 class ConcurrencyLimit
 {
 public:
@@ -37,8 +37,8 @@
   /// A call was answered while its answer was still of full value.
   void OnInTime(Duration aElapsed);
 
-  /// A call was refused for lack of room, or its answer came too late or not at all.
-  /// Calls sent before the last shrinking of the window are not counted again.
+  /// A call was refused for lack of room, or its answer came too late or not at all. Calls sent before the
+  /// last one that counted do not count again.
   void OnCongested(const CongestedCall& aCall, TimePoint aNow);
 
   /// \return whether one more call may be sent
@@ -64,8 +64,8 @@
   bool bounded = false;
   double strikes = 0; ///< late calls, less those forgiven
   double window = 0;
-  double usualMs = 0; ///< moving average of the time to an answer
-  TimePoint shrunkAt;
+  double usualMs = 0;    ///< moving average of the time to an answer
+  TimePoint congestedAt; ///< last congested call that counted
   TimePoint lastSend;
 };
 
--- a/src/gateway/internal/concurrencylimit.cpp
+++ b/src/gateway/internal/concurrencylimit.cpp
@@ -9,9 +9,9 @@
 // A late call shrinks the window by how late it was, within these bounds.
 constexpr double kMostShrink = 0.4;
 constexpr double kLeastShrink = 0.8;
-constexpr double kRefusalShrink = 0.6;
-constexpr double kGrow = 0.03; // by an answer; as a part of a window below one call
-constexpr double kElapsedWeight = 0.2;
+constexpr double kRefusalShrink = 0.6; // a full queue is later than most late calls
+constexpr double kGrow = 0.03;         // by an answer; as a part of a window below one call
+constexpr double kElapsedWeight = 0.2; // of one sample in the usual time
 // A single pause of a leaf makes the calls of one moment late; a bound needs lateness again soon after.
 constexpr double kStrikesToBound = 3;
 constexpr double kStrikeForgiven = 0.25; // by each answer in time
@@ -62,12 +62,12 @@
 ConcurrencyLimit::OnCongested(const CongestedCall& aCall, TimePoint aNow)
 {
   this->AddElapsed(aCall.elapsed);
-  if (aCall.sentAt <= this->shrunkAt) {
+  if (aCall.sentAt <= this->congestedAt) {
     return;
   }
   this->strikes += 1;
   const double current = this->CurrentWindow(aNow);
-  this->shrunkAt = aNow;
+  this->congestedAt = aNow;
   if (this->strikes < kStrikesToBound && !this->bounded) {
     return;
   }
@@ -100,7 +100,7 @@
 double
 ConcurrencyLimit::CurrentWindow(TimePoint aNow) const
 {
-  const double idle = std::chrono::duration<double>(aNow - this->shrunkAt).count();
+  const double idle = std::chrono::duration<double>(aNow - this->congestedAt).count();
   return std::min(this->options.open, this->window * std::exp2(idle / kDoublingSeconds));
 }
 
--- a/src/gateway/internal/scatterrunner.cpp
+++ b/src/gateway/internal/scatterrunner.cpp
@@ -32,36 +32,49 @@
 {
 }
 
+std::optional<GatewayReply>
+ScatterRunner::RefusalFor(const RouteSpec& aRoute, std::size_t aNeeded, TimePoint aNow)
+{
+  std::size_t usable = 0;
+  std::size_t withRoom = 0;
+  for (const std::string& shard : aRoute.shards) {
+    const std::vector<Ref<LeafHandle>>& leafs = this->context.leafs.Leafs(shard);
+    usable += HasUsableLeaf(leafs, aNow) ? 1 : 0;
+    withRoom += HasRoom(leafs, aNow) ? 1 : 0;
+  }
+  if (withRoom < aNeeded) {
+    const char* reason = usable < aNeeded ? "shards_unreachable" : "shards_busy";
+    GatewayReply refusal = Refusal(reason, kShardsRetry, this->context.random);
+    refusal.missing = aRoute.shards.size() - withRoom;
+    return refusal;
+  }
+  const RouteLoad& load = this->loads[aRoute.name];
+  if (!load.limit.Admits(load.inFlight, aNow)) {
+    return Refusal("overload", kShardsRetry, this->context.random);
+  }
+  return std::nullopt;
+}
+
 std::optional<GatewayReply>
 ScatterRunner::Start(RunnerRequest aRequest)
 {
   const RouteSpec& route = *aRequest.route;
   const TimePoint now = this->context.clock.Now();
-  std::size_t usable = 0;
-  std::size_t withRoom = 0;
   for (const std::string& shard : route.shards) {
     this->context.budget.OnRequest(shard);
-    const std::vector<Ref<LeafHandle>>& leafs = this->context.leafs.Leafs(shard);
-    usable += HasUsableLeaf(leafs, now) ? 1 : 0;
-    withRoom += HasRoom(leafs, now) ? 1 : 0;
   }
   const double share = route.minCoverage * static_cast<double>(route.shards.size());
   const std::size_t needed = std::max<std::size_t>(1, static_cast<std::size_t>(std::ceil(share - kRounding)));
-  RouteLoad& load = this->loads[route.name];
-  if (withRoom < needed) {
-    const char* reason = usable < needed ? "shards_unreachable" : "shards_busy";
-    GatewayReply refusal = Refusal(reason, kShardsRetry, this->context.random);
-    refusal.missing = route.shards.size() - withRoom;
+  std::optional<GatewayReply> refusal = this->RefusalFor(route, needed, now);
+  if (refusal) {
     return refusal;
   }
-  if (!load.limit.Admits(load.inFlight, now)) {
-    return Refusal("overload", kShardsRetry, this->context.random);
-  }
   auto owned = std::make_unique<Run>(route.topRecords);
   owned->request = std::move(aRequest);
   owned->needed = needed;
   owned->parts.resize(route.shards.size());
   Run& run = this->runs.Add(std::move(owned));
+  RouteLoad& load = this->loads[route.name];
   load.limit.OnSend(now);
   ++load.inFlight;
   for (std::size_t part = 0; part < run.parts.size(); ++part) {
--- a/src/gateway/internal/scatterrunner.h
+++ b/src/gateway/internal/scatterrunner.h
@@ -74,6 +74,11 @@
     std::size_t inFlight = 0;
   };
 
+  /// Decides whether a query can be served now.
+  /// \param aNeeded parts of the least coverage
+  /// \return a refusal when too few shards have leafs with room, or the route's bound is reached
+  std::optional<GatewayReply> RefusalFor(const RouteSpec& aRoute, std::size_t aNeeded, TimePoint aNow);
+
   /// Takes over how a query ended into the bound of its route.
   void LearnLoad(const Run& aRun, bool aCovered);
 
