Look for usable leafs only when a query is refused

Each query counted, for each of its shards, the leafs that answer and those with room; the first count only chooses the reason of a refusal. It is now made there.

--- a/src/gateway/internal/scatterrunner.cpp
+++ b/src/gateway/internal/scatterrunner.cpp
@@ -35,15 +35,15 @@
 std::optional<GatewayReply>
 ScatterRunner::RefusalFor(const RouteSpec& aRoute, std::size_t aNeeded, TimePoint aNow)
 {
-  std::size_t usable = 0;
-  std::size_t withRoom = 0;
-  for (const std::string& shard : aRoute.shards) {
-    const std::vector<Ref<LeafHandle>>& leafs = this->context.leafs.Leafs(shard);
-    usable += HasUsableLeaf(leafs, aNow) ? 1 : 0;
-    withRoom += HasRoom(leafs, aNow) ? 1 : 0;
-  }
+  const auto count = [&](bool (*aTakes)(const std::vector<Ref<LeafHandle>>&, TimePoint)) {
+    return static_cast<std::size_t>(
+      std::count_if(aRoute.shards.begin(), aRoute.shards.end(), [&](const std::string& aShard) {
+        return aTakes(this->context.leafs.Leafs(aShard), aNow);
+      }));
+  };
+  const std::size_t withRoom = count(HasRoom);
   if (withRoom < aNeeded) {
-    const char* reason = usable < aNeeded ? "shards_unreachable" : "shards_busy";
+    const char* reason = count(HasUsableLeaf) < aNeeded ? "shards_unreachable" : "shards_busy";
     GatewayReply refusal = Refusal(reason, kShardsRetry, this->context.random);
     refusal.missing = aRoute.shards.size() - withRoom;
     return refusal;
