--- a/review/5/case.py
+++ b/review/5/case.py
@@ -7,11 +7,11 @@
 import rig as r  # noqa: E402
 
 ZONES = ("centrs", "purvciems", "imanta", "kengarags")
-ROUNDS, ROUND_S = 12, 7.5
+ROUNDS, ROUND_S = 18, 5.0
 # The first of each zone in the nodes' own ranking, which passes changes on to the others of its zone.
 KILLED = (2, 0, 1)
 RESTART_S = 0.3  # a process that is killed starts again after a short delay
-TAKEN_AWAY_AT = (0.0, 0.3, 0.6)  # from the beginning of a round
+TAKEN_AWAY_AT = (0.0, 0.31, 0.62)  # from the beginning of a round
 KILL_AT = 0.33
 STAY_S = 6.3  # for which a leaf serves after its removal: drainMs and a little longer
 
@@ -29,9 +29,11 @@
     await r.asyncio.sleep(r.STABILITY_S)
     begin = rig.record.now()
     clients = [r.Client(rig, seed) for seed in range(40)]
-    rig.press([r.Kind("slip", "/slip/", "POST", 100, 3.0, idempotent=False)], clients, begin + ROUNDS * ROUND_S)
+    rig.press([r.Kind("slip", "/slip/", "POST", 100, 3.0, idempotent=False)], clients,
+              begin + ROUNDS * ROUND_S + 1)
     removed = {}
     killed = []
+    leaving = []
 
     async def take_away(leaf, at):
         await rig.sleep_until(at)
@@ -45,8 +47,8 @@
     for number in range(ROUNDS):
         start = begin + number * ROUND_S
         count = len(TAKEN_AWAY_AT)
-        leaving = [r.asyncio.ensure_future(take_away(leaf, start + at))
-                   for leaf, at in zip(leafs[number * count:(number + 1) * count], TAKEN_AWAY_AT)]
+        leaving += [r.asyncio.ensure_future(take_away(leaf, start + at))
+                    for leaf, at in zip(leafs[number * count:(number + 1) * count], TAKEN_AWAY_AT)]
         await rig.sleep_until(start + KILL_AT)
         if r.TROUBLE:
             node = rig.nodes[KILLED[number % len(KILLED)]]
@@ -54,9 +56,8 @@
             await node.kill()
             await rig.sleep_until(start + KILL_AT + RESTART_S)
             node.start()
-        await r.asyncio.gather(*leaving)
         await rig.sleep_until(start + ROUND_S)
-    await r.asyncio.gather(*rig.tasks)
+    await r.asyncio.gather(*rig.tasks, *leaving)
 
     sent = {a.id: a for a in rig.attempts}
     late, lost = [], []
