--- a/review/lib/rig.py
+++ b/review/lib/rig.py
@@ -353,6 +353,7 @@
         self.settings = rig.folder / f"{self.name}.ini"
         self.process = None
         self.collector = None
+        self.all = []  # every process that was started for this node
         self.starts = []
         self.ends = []
 
@@ -404,6 +405,7 @@
             output = writer
         self.process = subprocess.Popen([str(NODE)], cwd=ROOT, env=environment, stdin=subprocess.DEVNULL,
                                         stdout=output, stderr=log, start_new_session=True)
+        self.all += [self.process] + ([self.collector] if collector else [])
         if collector:
             os.close(output)
         log.close()
@@ -681,8 +683,8 @@
 
     def close(self):
         for node in self.nodes:
-            for process in (node.collector, node.process):
-                if process is not None and process.poll() is None:
+            for process in node.all:
+                if process.poll() is None:
                     try:
                         process.send_signal(signal.SIGCONT)
                         process.kill()
