Give an address to its latest registration, in whatever order entries are read

Every query is refused from then on, though all leafs run and are registered.

Cause: a node that starts applies the entries of a full read in the order of their keys. LeafDirectory gave an address to the registration that was applied last and marked the other one as withdrawn for good. If the key of the crashed leaf sorts later, the running leaf was withdrawn, and nothing took that back: neither the end of the old entry nor a change of its own. An entry of another writer with the address of a running leaf did the same.

Ruled out: entries that the read or the watch lost. The log of the node has leaf_registered lines of both ids, and the directory counts both.

Change: a registration carries the revision of its entry. Of the registrations of one address the one with the highest revision holds it; a crashed leaf writes nothing more, so the running one is always later. The others are superseded, which ends when the holder is removed. A registration of a service that the configuration does not name takes no address.

--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -81,6 +81,7 @@
     this->routing = std::move(aRouting);
     this->splits.Clear();
     this->exchange.SetConnectionLimits(this->routing->connectionLimits);
+    this->context.leafs.SetServices(this->routing->Services());
     return true;
   }
 
--- a/src/gateway/internal/leafdirectory.cpp
+++ b/src/gateway/internal/leafdirectory.cpp
@@ -3,6 +3,16 @@
 
 namespace yp {
 
+namespace {
+
+void
+Erase(std::vector<Ref<LeafHandle>>& aLeafs, const Ref<LeafHandle>& aLeaf)
+{
+  aLeafs.erase(std::remove(aLeafs.begin(), aLeafs.end(), aLeaf), aLeafs.end());
+}
+
+} // namespace
+
 bool
 LeafRegistration::operator==(const LeafRegistration& aOther) const
 {
@@ -19,6 +29,8 @@
   if (known != this->byId.end()) {
     LeafHandle& leaf = *known->second;
     if (leaf.registration == aRegistration) {
+      leaf.registration.revision = aRegistration.revision;
+      this->UpdateHolder(this->byEndpoint[aRegistration.endpoint]);
       return false;
     }
     const bool same = leaf.registration.startTimeMs == aRegistration.startTimeMs &&
@@ -27,6 +39,7 @@
     if (same) {
       leaf.registration = aRegistration;
       leaf.coldUntil = this->clock.Now() + aRegistration.warmupLeft;
+      this->UpdateHolder(this->byEndpoint[aRegistration.endpoint]);
       return true;
     }
     this->Remove(aRegistration.id);
@@ -34,11 +47,9 @@
   const Ref<LeafHandle> leaf(new LeafHandle);
   leaf->registration = aRegistration;
   leaf->coldUntil = this->clock.Now() + aRegistration.warmupLeft;
-  Ref<LeafHandle>& holder = this->byEndpoint[aRegistration.endpoint];
-  if (holder) {
-    holder->withdrawn = true;
-  }
-  holder = leaf;
+  std::vector<Ref<LeafHandle>>& sharing = this->byEndpoint[aRegistration.endpoint];
+  sharing.push_back(leaf);
+  this->UpdateHolder(sharing);
   this->byId[aRegistration.id] = leaf;
   this->byService[aRegistration.service].push_back(leaf);
   return true;
@@ -61,21 +72,70 @@
 LeafDirectory::Unlink(const Ref<LeafHandle>& aLeaf)
 {
   aLeaf->withdrawn = true;
-  const auto holder = this->byEndpoint.find(aLeaf->registration.endpoint);
-  if (holder != this->byEndpoint.end() && holder->second == aLeaf) {
-    this->byEndpoint.erase(holder);
+  const auto sharing = this->byEndpoint.find(aLeaf->registration.endpoint);
+  Erase(sharing->second, aLeaf);
+  this->UpdateHolder(sharing->second);
+  if (sharing->second.empty()) {
+    this->byEndpoint.erase(sharing);
   }
   const auto service = this->byService.find(aLeaf->registration.service);
   if (service == this->byService.end()) {
     return;
   }
-  std::vector<Ref<LeafHandle>>& leafs = service->second;
-  leafs.erase(std::remove(leafs.begin(), leafs.end(), aLeaf), leafs.end());
-  if (leafs.empty()) {
+  Erase(service->second, aLeaf);
+  if (service->second.empty()) {
     this->byService.erase(service);
   }
 }
 
+bool
+LeafDirectory::IsNamed(const std::string& aService) const
+{
+  return this->services.empty() || this->services.count(aService) != 0;
+}
+
+void
+LeafDirectory::UpdateHolder(const std::vector<Ref<LeafHandle>>& aSharing)
+{
+  const LeafHandle* holder = nullptr;
+  for (const Ref<LeafHandle>& leaf : aSharing) {
+    const bool later = holder == nullptr || leaf->registration.revision >= holder->registration.revision;
+    if (later && this->IsNamed(leaf->registration.service)) {
+      holder = leaf.get();
+    }
+  }
+  for (const Ref<LeafHandle>& leaf : aSharing) {
+    const bool superseded = holder != nullptr && leaf.get() != holder;
+    if (leaf->superseded == superseded) {
+      continue;
+    }
+    leaf->superseded = superseded;
+    LogEvent(LogLevel::kInfo,
+             superseded ? "leaf_superseded" : "leaf_holds_address",
+             { { "leaf", leaf->registration.id },
+               { "service", leaf->registration.service },
+               { "address", ToString(leaf->registration.endpoint) },
+               { "revision", leaf->registration.revision },
+               { "holder", holder == nullptr ? "" : holder->registration.id } });
+  }
+}
+
+void
+LeafDirectory::SetServices(std::set<std::string> aServices)
+{
+  this->services = std::move(aServices);
+  for (const auto& [endpoint, sharing] : this->byEndpoint) {
+    this->UpdateHolder(sharing);
+  }
+}
+
+std::size_t
+LeafDirectory::CountSuperseded() const
+{
+  return static_cast<std::size_t>(std::count_if(
+    this->byId.begin(), this->byId.end(), [](const auto& aLeaf) { return aLeaf.second->superseded; }));
+}
+
 const std::vector<Ref<LeafHandle>>&
 LeafDirectory::Leafs(const std::string& aService) const
 {
--- a/src/gateway/internal/routingstate.cpp
+++ b/src/gateway/internal/routingstate.cpp
@@ -32,4 +32,23 @@
   return nullptr;
 }
 
+std::set<std::string>
+RoutingState::Services() const
+{
+  std::set<std::string> services;
+  for (const auto& [service, limit] : this->connectionLimits) {
+    services.insert(service);
+  }
+  for (const RouteSpec& route : this->routes) {
+    if (!route.service.empty()) {
+      services.insert(route.service);
+    }
+    services.insert(route.shards.begin(), route.shards.end());
+    for (const WeightedService& part : route.split) {
+      services.insert(part.service);
+    }
+  }
+  return services;
+}
+
 } // namespace yp
--- a/src/gateway/leafdirectory.h
+++ b/src/gateway/leafdirectory.h
@@ -5,6 +5,7 @@
 #include "gateway/concurrencylimit.h"
 #include <boost/intrusive/list.hpp>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -21,6 +22,7 @@
   bool draining = false;
   std::chrono::milliseconds warmupLeft{ 0 }; ///< remaining time in which the leaf is slow after its start
   std::uint64_t startTimeMs = 0;             ///< start of the leaf, ms since the epoch; 0 when not given
+  std::uint64_t revision = 0;                ///< position in the order of publication; not compared
 
   bool operator==(const LeafRegistration& aOther) const;
 };
@@ -103,14 +105,19 @@
   LeafRegistration registration;
   LeafCondition condition;
   ConcurrencyLimit limit;
-  TimePoint coldUntil;    ///< the leaf is slow after its start until then
-  bool withdrawn = false; ///< no longer registered, or another leaf uses its address
+  TimePoint coldUntil;     ///< the leaf is slow after its start until then
+  bool withdrawn = false;  ///< no longer registered, for good
+  bool superseded = false; ///< a later registration holds its address; ends when that one is removed
 
   /// \return whether the leaf may get new requests
-  bool AcceptsRequests() const { return !this->withdrawn && !this->registration.draining; }
+  bool AcceptsRequests() const
+  {
+    return !this->withdrawn && !this->superseded && !this->registration.draining;
+  }
 };
 
-/// The currently registered leafs, by service.
+/// The currently registered leafs, by service. Of several registrations of one address the latest published
+/// one holds the address, in whatever order they are applied; the others get no requests while it does.
 class LeafDirectory
 {
 public:
@@ -127,18 +134,30 @@
   /// \return whether the leaf was registered
   bool Remove(const std::string& aId);
 
+  /// Sets the services that the configuration names. A registration of another service takes no address, as
+  /// another writer may have made it.
+  void SetServices(std::set<std::string> aServices);
+
   /// \return all leafs of a service, including those that accept no requests; empty for an unknown service
   const std::vector<Ref<LeafHandle>>& Leafs(const std::string& aService) const;
 
   std::size_t Count() const { return this->byId.size(); }
 
+  /// \return registered leafs whose address a later registration holds
+  std::size_t CountSuperseded() const;
+
 private:
   void Unlink(const Ref<LeafHandle>& aLeaf);
 
+  /// Decides which registration of an address holds it.
+  void UpdateHolder(const std::vector<Ref<LeafHandle>>& aSharing);
+  bool IsNamed(const std::string& aService) const;
+
   const IClock& clock;
   std::map<std::string, Ref<LeafHandle>> byId;
   std::map<std::string, std::vector<Ref<LeafHandle>>> byService;
-  std::map<Endpoint, Ref<LeafHandle>> byEndpoint;
+  std::map<Endpoint, std::vector<Ref<LeafHandle>>> byEndpoint; ///< in the order of their first application
+  std::set<std::string> services;                              ///< empty before the first configuration
 };
 
 } // namespace yp
--- a/src/gateway/routingstate.h
+++ b/src/gateway/routingstate.h
@@ -4,6 +4,7 @@
 #include "framework/global/global.h"
 #include <chrono>
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -65,6 +66,9 @@
   /// \return the route of the host with the longest matching path prefix; null when there is none
   const RouteSpec* Match(std::string_view aHost, std::string_view aPath) const;
 
+  /// \return the services that routes or connection limits name
+  std::set<std::string> Services() const;
+
 private:
   std::map<std::string, std::vector<const RouteSpec*>, std::less<>> byHost; ///< longest prefix first
 };
--- a/src/gateway/tests/gateway_tests.cpp
+++ b/src/gateway/tests/gateway_tests.cpp
@@ -173,6 +173,9 @@
 TEST_CASE("A leaf whose address is now used by another service gets no requests", "[reuse]")
 {
   GatewayFixture fixture;
+  const Ref<RoutingState> routing = GatewayFixture::MakeRouting(2);
+  routing->connectionLimits["other"] = 4;
+  fixture.gateway->SetRouting(routing);
   LeafRegistration newOwner = fixture.leafs.Leafs("plain")[0]->registration;
   newOwner.id = "new-owner";
   newOwner.service = "other";
@@ -184,6 +187,69 @@
   REQUIRE(fixture.exchange.CountSent("plain-a") == 0);
 }
 
+// Guards against running leafs that stay out of use for good: a node that starts reads the registrations in
+// the order of their ids, which may put the crashed leaf of an address after the running one.
+TEST_CASE("The latest registration of an address holds it, in whatever order they are read",
+          "[reuse][recover]")
+{
+  const bool crashedFirst = GENERATE(true, false);
+  GatewayFixture fixture;
+  LeafRegistration crashed = fixture.leafs.Leafs("plain")[0]->registration;
+  fixture.leafs.Remove("plain-a");
+  fixture.leafs.Remove("plain-b");
+  crashed.id = "crashed";
+  crashed.revision = 100;
+  LeafRegistration running = crashed;
+  running.id = "running";
+  running.revision = 110;
+  fixture.leafs.Apply(crashedFirst ? crashed : running);
+  fixture.leafs.Apply(crashedFirst ? running : crashed);
+  fixture.SendRequest("/one/x");
+  REQUIRE(fixture.exchange.CountSent("running") == 1);
+  fixture.leafs.Remove("crashed");
+  fixture.timers.RunFor(milliseconds(20));
+  fixture.SendRequest("/one/x");
+  REQUIRE(fixture.exchange.CountSent("running") == 2);
+}
+
+// Guards against a conclusion that outlives its cause: the entry that took an address over is removed again.
+TEST_CASE("A leaf is used again when the later registration of its address is removed", "[reuse][recover]")
+{
+  GatewayFixture fixture;
+  fixture.leafs.Remove("plain-b");
+  LeafRegistration other = fixture.leafs.Leafs("plain")[0]->registration;
+  other.id = "other-leaf";
+  other.service = "shard0";
+  other.revision = 50;
+  fixture.leafs.Apply(other);
+  fixture.SendRequest("/one/x");
+  REQUIRE(fixture.exchange.sent.empty());
+  fixture.leafs.Remove("other-leaf");
+  fixture.SendRequest("/one/x");
+  REQUIRE(fixture.exchange.CountSent("plain-a") == 1);
+}
+
+// Guards against entries of another writer that end the use of a running leaf by naming its address.
+TEST_CASE("A registration for a service that the configuration does not name takes no address",
+          "[reuse][foreign]")
+{
+  GatewayFixture fixture;
+  fixture.leafs.Remove("plain-b");
+  LeafRegistration foreign = fixture.leafs.Leafs("plain")[0]->registration;
+  foreign.id = "foreign";
+  foreign.service = "unknown";
+  foreign.revision = 50;
+  fixture.leafs.Apply(foreign);
+  fixture.SendRequest("/one/x");
+  REQUIRE(fixture.exchange.CountSent("plain-a") == 1);
+  const Ref<RoutingState> named = GatewayFixture::MakeRouting(2);
+  named->connectionLimits["unknown"] = 4;
+  fixture.gateway->SetRouting(named);
+  fixture.timers.RunFor(milliseconds(20));
+  fixture.SendRequest("/one/x");
+  REQUIRE(fixture.exchange.CountSent("plain-a") == 1);
+}
+
 TEST_CASE("A leaf that restarts under the same id does not inherit the previous state", "[reuse]")
 {
   GatewayFixture fixture;
