Bound the signatures of a gathered answer

Cause: the signatures of up to 60 parts were joined in one header field, whatever their length. Boost.Beast throws std::length_error for a field of 64 KB. A signature with a comma would also have counted as two, which makes the whole answer wrong.

Change: a part whose signature is longer than 4,000 bytes, or cannot stand in a comma-separated list, is no part; it is asked for at another leaf within the usual limits. Counter parts_unlistable_total.

--- a/src/gateway/igateway.h
+++ b/src/gateway/igateway.h
@@ -69,6 +69,7 @@
   std::atomic<std::uint64_t> leafBounds{ 0 };   ///< times that the calls to a leaf became limited
   std::atomic<std::uint64_t> routeBounds{ 0 };  ///< times that the queries of a route became limited
   std::atomic<std::uint64_t> partsMissing{ 0 };
+  std::atomic<std::uint64_t> partsUnlistable{ 0 }; ///< parts whose signature cannot stand in an answer's list
   std::atomic<std::uint64_t> callersDisconnected{ 0 };
 };
 
--- a/src/gateway/internal/scatterrunner.cpp
+++ b/src/gateway/internal/scatterrunner.cpp
@@ -19,6 +19,19 @@
 // (2) keeps a few slow leafs from blocking the route.
 constexpr ConcurrencyLimit::Options kRouteLimit{ 4, 2, 64 };
 
+// Bounds the head of a merged answer; a signature of this size still fits into a header field.
+constexpr std::size_t kMaxSignatureBytes = 4000;
+
+/// \return whether a signature can stand in a comma-separated list in a header field
+bool
+IsListable(const std::string& aSignature)
+{
+  return aSignature.size() <= kMaxSignatureBytes &&
+         std::all_of(aSignature.begin(), aSignature.end(), [](char aCharacter) {
+           return aCharacter > ' ' && aCharacter <= '~' && aCharacter != ',';
+         });
+}
+
 } // namespace
 
 ScatterRunner::RouteLoad::RouteLoad()
@@ -128,6 +141,10 @@
 bool
 ScatterRunner::Merge(Run& aRun, Part& aPart, const LeafResult& aResult)
 {
+  if (!IsListable(aResult.signature)) {
+    ++this->context.stats.partsUnlistable;
+    return false;
+  }
   // An answer that contains the same signature twice would be invalid.
   if (!aRun.signatures.insert(aResult.signature).second) {
     return false;
--- a/src/gateway/tests/scatter_tests.cpp
+++ b/src/gateway/tests/scatter_tests.cpp
@@ -148,6 +148,29 @@
   REQUIRE(std::adjacent_find(signatures.begin(), signatures.end()) == signatures.end());
 }
 
+// Guards against a spoiled signature that makes a whole answer wrong, or too large to be written: signatures
+// are listed in header fields, separated by commas.
+TEST_CASE("A part whose signature cannot be listed is asked for at the other leaf", "[scatter][signatures]")
+{
+  const std::string spoiled = GENERATE(std::string(14000, '?'), "a,b", "a b", "a\x01");
+  GatewayFixture fixture;
+  fixture.RunQueries(20);
+  fixture.replies.clear();
+  fixture.exchange.script = [&spoiled](const std::string& aLeaf) {
+    FakeAnswer answer;
+    answer.signature = aLeaf == "shard3-a" ? spoiled : "";
+    return answer;
+  };
+  fixture.RunQueries(20);
+  REQUIRE(fixture.exchange.CountSent("shard3-a") > 0);
+  for (const GatewayReply& reply : fixture.replies) {
+    REQUIRE(reply.outcome == GatewayOutcome::kMerged);
+    REQUIRE(reply.signatures.size() + reply.missing == GatewayFixture::kShards);
+    REQUIRE(std::count(reply.signatures.begin(), reply.signatures.end(), spoiled) == 0);
+  }
+  REQUIRE(fixture.gateway->Stats().partsUnlistable > 0);
+}
+
 TEST_CASE("When a caller disconnects, its calls are cancelled and no more are sent", "[gone]")
 {
   GatewayFixture fixture;
