Catch what a handler throws in one place; arrange the next step first

Cause: nothing caught an exception of a handler of a leaf's answer. It left io_context::run and ended the program. Only the handlers of callers' requests had a catch.

A response that cannot be written becomes a 500 (line http_response_failed). Recover says the text of an exception instead of "unspecified error".

--- a/src/app/internal/adminapi.cpp
+++ b/src/app/internal/adminapi.cpp
@@ -140,7 +140,7 @@
 void
 AdminApi::Start()
 {
-  this->thread = std::thread([this] { this->context.run(); });
+  this->thread = std::thread([this] { RunContext(this->context); });
 }
 
 void
--- a/src/app/internal/controlplane.cpp
+++ b/src/app/internal/controlplane.cpp
@@ -90,7 +90,7 @@
     this->lifecycle->Started();
     this->Tick();
   });
-  this->thread = std::thread([this] { this->context.run(); });
+  this->thread = std::thread([this] { RunContext(this->context); });
 }
 
 void
--- a/src/app/internal/requestthread.cpp
+++ b/src/app/internal/requestthread.cpp
@@ -64,7 +64,7 @@
 void
 RequestThread::Start()
 {
-  this->thread = std::thread([this] { this->context.run(); });
+  this->thread = std::thread([this] { RunContext(this->context); });
 }
 
 void
--- a/src/changefeed/internal/changerelay.cpp
+++ b/src/changefeed/internal/changerelay.cpp
@@ -112,6 +112,7 @@
   void Tick()
   {
     const TimePoint now = this->clock.Now();
+    this->timer = this->timers.At(now + kTickInterval, [this] { this->Tick(); });
     const std::vector<std::string> readers = ChooseReaders(this->gossip.Peers());
     const std::string& own = this->gossip.Own().host;
     const bool chosen = std::find(readers.begin(), readers.end(), own) != readers.end();
@@ -121,7 +122,6 @@
     this->fallbackUntil = stale ? now + kFallbackReadTime : this->fallbackUntil;
     this->SetReading(chosen || now < this->fallbackUntil);
     this->NotifyPeers();
-    this->timer = this->timers.At(now + kTickInterval, [this] { this->Tick(); });
   }
 
   void SetReading(bool aReading)
--- a/src/framework/global/errors.h
+++ b/src/framework/global/errors.h
@@ -4,6 +4,7 @@
 #include <boost/leaf/error.hpp>
 #include <boost/leaf/handle_errors.hpp>
 #include <boost/leaf/result.hpp>
+#include <exception>
 #include <string>
 #include <utility>
 
@@ -55,7 +56,8 @@
   return leaf::new_error(Error{ aCode, std::move(aStep), std::move(aPeer), std::move(aDetail) });
 }
 
-/// Runs a fallible function and hands its error, if any, to a handler.
+/// Runs a fallible function and hands its error, if any, to a handler. An exception counts as an error of the
+/// kind kInternal.
 /// \param aFunction returns Result<T>
 /// \param aHandler called with the Error; returns T
 /// \return the value of either
@@ -66,6 +68,9 @@
   return leaf::try_handle_all(
     std::forward<F>(aFunction),
     [&aHandler](const Error& aError) { return aHandler(aError); },
+    [&aHandler](const std::exception& aException) {
+      return aHandler(Error{ ErrorCode::kInternal, "unknown", "", aException.what() });
+    },
     [&aHandler] {
       return aHandler(Error{ ErrorCode::kInternal, "unknown", "", "unspecified error" });
     });
--- a/src/framework/network/internal/httpserver.cpp
+++ b/src/framework/network/internal/httpserver.cpp
@@ -126,7 +126,17 @@
       return;
     }
     this->onGone = nullptr;
-    this->Write(std::move(aResponse));
+    try {
+      this->Write(std::move(aResponse));
+    } catch (const std::exception& error) {
+      // The library throws for a header field of 64 KB or more.
+      LogEvent(LogLevel::kError,
+               "http_response_failed",
+               { { "step", "http.respond" }, { "peer", ToString(this->peer) }, { "detail", error.what() } });
+      HttpResponse failure;
+      failure.status = 500;
+      this->Write(std::move(failure));
+    }
   }
 
   asio::io_context& Context() const { return this->core->context; }
@@ -610,8 +620,8 @@
         RetryAccept(aCore);
         return;
       }
-      Admit(aCore, std::move(aSocket));
       AcceptNext(aCore);
+      Admit(aCore, std::move(aSocket));
     });
   }
 
--- a/src/framework/network/tests/httpserver_tests.cpp
+++ b/src/framework/network/tests/httpserver_tests.cpp
@@ -45,6 +45,9 @@
       return;
     }
     HttpResponse response;
+    if (aRequest.target == "/oversized") {
+      response.headers.push_back({ "X-Long", std::string(70000, 'a') });
+    }
     response.body =
       "[" + aRequest.method + aRequest.target + ":" + std::to_string(aRequest.body.size()) + "]";
     aRespond(std::move(response));
@@ -125,6 +128,17 @@
   CHECK(fixture.Works());
 }
 
+// Guards against a response that cannot be written and ends the process: the library throws for a field of 64
+// KB.
+TEST_CASE("a response that cannot be written becomes a 500 and other connections go on")
+{
+  Fixture fixture;
+  const std::string text = fixture.Ask("GET /oversized HTTP/1.1\r\nConnection: close\r\n\r\n");
+  CHECK(Has(text, "HTTP/1.1 500"));
+  CHECK_FALSE(Has(text, "X-Long"));
+  CHECK(fixture.Works());
+}
+
 // Guards against the limit of chunk heads being applied to the data of a chunk.
 TEST_CASE("a chunk larger than the limit of a header is received")
 {
--- a/src/gossip/internal/gossipnode.cpp
+++ b/src/gossip/internal/gossipnode.cpp
@@ -212,6 +212,10 @@
   void Round()
   {
     ++this->round;
+    const Duration usual = this->Unsettled() ? this->options.interval / 2 : this->options.interval;
+    const Duration base = this->received ? usual : kStartInterval;
+    const auto pause = std::chrono::duration_cast<Duration>(base * (0.85 + 0.3 * this->random.Real()));
+    this->roundTimer = this->timers.At(this->clock.Now() + pause, [this] { this->Round(); });
     if (!this->received) {
       this->RequestFromSeeds();
     }
@@ -224,10 +228,6 @@
     if (!next.empty()) {
       this->SendProbe(next, 0);
     }
-    const Duration usual = this->Unsettled() ? this->options.interval / 2 : this->options.interval;
-    const Duration base = this->received ? usual : kStartInterval;
-    const auto pause = std::chrono::duration_cast<Duration>(base * (0.85 + 0.3 * this->random.Real()));
-    this->roundTimer = this->timers.At(this->clock.Now() + pause, [this] { this->Round(); });
   }
 
   /// \return whether a record changed recently, so that peers may have further changes
