Keep only the latest change of each key in a node's change log

Cause: the log kept the last 1,024 changes with their whole values, up to 1 GB of superseded configurations.

Change: the log keeps the latest change of each key: the value, or the removal, of which there are at most 1,024. A peer that is behind gets the latest change of each key that changed, in the order of revisions. A value that is superseded needs no place in that: whoever is behind it only needs the one in force.

--- a/src/changefeed/changelog.h
+++ b/src/changefeed/changelog.h
@@ -2,9 +2,10 @@
 #define YP_CHANGEFEED_CHANGELOG_H
 
 #include "framework/global/global.h"
-#include <deque>
 #include <map>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace yp {
@@ -29,7 +30,8 @@
   std::vector<Change> changes;
 };
 
-/// All published values and a bounded history of changes. A value never reverts to an earlier revision.
+/// All published values and a bounded number of removals. Of each key only the latest change is kept, so the
+/// memory does not grow with the number of changes. A value never reverts to an earlier revision.
 class ChangeLog
 {
 public:
@@ -38,20 +40,27 @@
   /// \return the changes that were new, removals included; no changes if there were none
   ChangeBatch Apply(const ChangeBatch& aBatch);
 
-  /// \return the changes after a revision, or the complete state when the revision is 0 or precedes the
-  ///   history
+  /// \return the latest changes after a revision in the order of their revisions, or the complete state when
+  /// the
+  ///   revision is 0 or removals since then may be missing
   ChangeBatch Since(std::uint64_t aRevision) const;
 
   std::uint64_t Revision() const { return this->revision; }
 
+  /// \return size in bytes of all keys and values that are kept, values and removals
+  std::size_t KeptBytes() const;
+
 private:
+  /// \return whether the change is newer than what is known of its key
   bool ApplyChange(const Change& aChange);
-  void AppendToHistory(const Change& aChange);
+
+  /// Drops the oldest removals above the limit.
+  void LimitRemovals();
 
   std::uint64_t revision = 0;
-  std::uint64_t historyAfter = 0; ///< history holds all changes after this revision
-  std::map<std::string, Change> values;
-  std::deque<Change> history;
+  std::uint64_t removalsAfter = 0;                          ///< all removals after this revision are known
+  std::map<std::string, Change> latest;                     ///< by key: the value or the removal
+  std::set<std::pair<std::uint64_t, std::string>> removals; ///< revision and key of the removals in latest
 };
 
 } // namespace yp
--- a/src/changefeed/internal/changelog.cpp
+++ b/src/changefeed/internal/changelog.cpp
@@ -1,13 +1,12 @@
 #include "changefeed/changelog.h"
 #include <algorithm>
-#include <set>
 
 namespace yp {
 
 namespace {
 
-// Number of changes. Replacing all leafs of a large deployment takes 405 registrations.
-constexpr std::size_t kHistorySize = 1024;
+// Replacing all leafs of a large deployment removes 405 registrations.
+constexpr std::size_t kMaxRemovals = 1024;
 
 } // namespace
 
@@ -33,8 +32,8 @@
   }
   if (aBatch.complete) {
     std::vector<Change> removed;
-    for (const auto& [key, value] : this->values) {
-      if (present.count(key) == 0) {
+    for (const auto& [key, change] : this->latest) {
+      if (!change.removed && present.count(key) == 0) {
         removed.push_back(Change{ key, "", aBatch.upTo, true, aBatch.afterOutage });
       }
     }
@@ -50,29 +49,34 @@
 bool
 ChangeLog::ApplyChange(const Change& aChange)
 {
-  const auto known = this->values.find(aChange.key);
-  if (known == this->values.end() && aChange.removed) {
+  const auto known = this->latest.find(aChange.key);
+  if (known == this->latest.end() && aChange.removed) {
     return false;
   }
-  if (known != this->values.end() && known->second.revision >= aChange.revision) {
-    return false;
+  if (known != this->latest.end()) {
+    if (known->second.revision >= aChange.revision) {
+      return false;
+    }
+    if (known->second.removed) {
+      this->removals.erase({ known->second.revision, aChange.key });
+    }
   }
+  this->latest[aChange.key] = aChange;
   if (aChange.removed) {
-    this->values.erase(known);
-  } else {
-    this->values[aChange.key] = aChange;
+    this->removals.insert({ aChange.revision, aChange.key });
+    this->LimitRemovals();
   }
-  this->AppendToHistory(aChange);
   return true;
 }
 
 void
-ChangeLog::AppendToHistory(const Change& aChange)
+ChangeLog::LimitRemovals()
 {
-  this->history.push_back(aChange);
-  if (this->history.size() > kHistorySize) {
-    this->historyAfter = std::max(this->historyAfter, this->history.front().revision);
-    this->history.pop_front();
+  while (this->removals.size() > kMaxRemovals) {
+    const auto oldest = this->removals.begin();
+    this->removalsAfter = std::max(this->removalsAfter, oldest->first);
+    this->latest.erase(oldest->second);
+    this->removals.erase(oldest);
   }
 }
 
@@ -82,19 +86,29 @@
   ChangeBatch batch;
   batch.after = aRevision;
   batch.upTo = this->revision;
-  batch.complete = aRevision < this->historyAfter || aRevision == 0;
-  if (batch.complete) {
-    for (const auto& [key, change] : this->values) {
-      batch.changes.push_back(change);
-    }
-    return batch;
-  }
-  for (const Change& change : this->history) {
-    if (change.revision > aRevision) {
+  batch.complete = aRevision < this->removalsAfter || aRevision == 0;
+  for (const auto& [key, change] : this->latest) {
+    if (batch.complete ? !change.removed : change.revision > aRevision) {
       batch.changes.push_back(change);
     }
   }
+  std::stable_sort(batch.changes.begin(), batch.changes.end(), [](const Change& aLeft, const Change& aRight) {
+    return aLeft.revision < aRight.revision;
+  });
   return batch;
 }
 
+std::size_t
+ChangeLog::KeptBytes() const
+{
+  std::size_t bytes = 0;
+  for (const auto& [key, change] : this->latest) {
+    bytes += key.size() + change.key.size() + change.value.size();
+  }
+  for (const auto& [removedAt, key] : this->removals) {
+    bytes += key.size();
+  }
+  return bytes;
+}
+
 } // namespace yp
