Pass removals on that a complete state does not name

Other nodes of its failure domain, in touch all the while, go on using a removed leaf until it exits; single requests are lost.

Cause: a node that starts takes over a complete state, which does not name what was removed before. Its log answered a peer that was a little behind as if it knew all removals since revision 0. The peer's state then counted as complete up to the new revision, so nobody sent it the removal again.

Change: after a complete state a log knows all removals only from its revision on; a peer behind that gets the complete state. Related paths, found by reading: the same after a full read of a node that missed changes, and a removal whose key was already missing in a later page of the read, which the log dropped instead of passing it on. The kept removals also refuse an earlier value of their key.

Tests: "A peer learns of a removal from before the start of the node that it asks", "... that the node that it asks has passed over", "... that the node that it asks had no value for" failed before (two values instead of one); "A removed value does not return with an earlier revision" held.

--- a/src/changefeed/changelog.h
+++ b/src/changefeed/changelog.h
@@ -51,7 +51,7 @@
   std::size_t KeptBytes() const;
 
 private:
-  /// \return whether the change is newer than what is known of its key
+  /// \return whether the key has a new value, or lost its value
   bool ApplyChange(const Change& aChange);
 
   /// Drops the oldest removals above the limit.
--- a/src/changefeed/internal/changelog.cpp
+++ b/src/changefeed/internal/changelog.cpp
@@ -41,6 +41,8 @@
       this->ApplyChange(change);
       fresh.changes.push_back(change);
     }
+    // A complete state does not name what was removed since the known revision.
+    this->removalsAfter = aBatch.upTo > this->revision ? aBatch.upTo : this->removalsAfter;
   }
   this->revision = fresh.upTo;
   return fresh;
@@ -50,9 +52,7 @@
 ChangeLog::ApplyChange(const Change& aChange)
 {
   const auto known = this->latest.find(aChange.key);
-  if (known == this->latest.end() && aChange.removed) {
-    return false;
-  }
+  const bool hadValue = known != this->latest.end() && !known->second.removed;
   if (known != this->latest.end()) {
     if (known->second.revision >= aChange.revision) {
       return false;
@@ -62,11 +62,13 @@
     }
   }
   this->latest[aChange.key] = aChange;
-  if (aChange.removed) {
-    this->removals.insert({ aChange.revision, aChange.key });
-    this->LimitRemovals();
+  if (!aChange.removed) {
+    return true;
   }
-  return true;
+  // The removal of an unknown key is kept too: a peer that is behind may have its value.
+  this->removals.insert({ aChange.revision, aChange.key });
+  this->LimitRemovals();
+  return hadValue;
 }
 
 void
--- a/src/changefeed/tests/changefeed_tests.cpp
+++ b/src/changefeed/tests/changefeed_tests.cpp
@@ -193,6 +193,56 @@
   REQUIRE(log.Since(revision - 5).changes.size() == 3);
 }
 
+// Guards against nodes that use a removed leaf for good: a node that starts knows no removal from before its
+// first complete state.
+TEST_CASE("A peer learns of a removal from before the start of the node that it asks", "[changelog][start]")
+{
+  ChangeLog started;
+  started.Apply({ 0, 100, true, false, { Value("a", 50) } });
+  ChangeLog behind;
+  behind.Apply({ 0, 95, true, false, { Value("a", 50), Value("removed", 60) } });
+  behind.Apply(started.Since(behind.Revision()));
+  REQUIRE(behind.Revision() == 100);
+  REQUIRE(behind.Since(0).changes.size() == 1);
+}
+
+// Guards against the same loss at a node that reads the complete state again because it missed the changes.
+TEST_CASE("A peer learns of a removal that the node that it asks has passed over", "[changelog][compact]")
+{
+  ChangeLog reader;
+  reader.Apply({ 0, 90, true, false, { Value("a", 50) } });
+  reader.Apply({ 0, 100, true, false, { Value("a", 50) } });
+  ChangeLog behind;
+  behind.Apply({ 0, 90, true, false, { Value("a", 50) } });
+  behind.Apply({ 90, 95, false, false, { Value("removed", 92) } });
+  behind.Apply(reader.Since(behind.Revision()));
+  REQUIRE(behind.Revision() == 100);
+  REQUIRE(behind.Since(0).changes.size() == 1);
+}
+
+// Guards against a removal that is not passed on because the key was already missing in a page of a later
+// revision than that of the complete state.
+TEST_CASE("A peer learns of a removal that the node that it asks had no value for", "[changelog]")
+{
+  ChangeLog reader;
+  reader.Apply({ 0, 100, true, false, { Value("a", 50) } });
+  reader.Apply({ 100, 103, false, false, { Removal("removed", 102), Value("a", 103) } });
+  ChangeLog behind;
+  behind.Apply({ 0, 101, true, false, { Value("a", 50), Value("removed", 60) } });
+  behind.Apply(reader.Since(behind.Revision()));
+  REQUIRE(behind.Since(0).changes.size() == 1);
+}
+
+// Guards against a removed leaf that returns with a value from before its removal.
+TEST_CASE("A removed value does not return with an earlier revision", "[changelog]")
+{
+  ChangeLog log;
+  log.Apply({ 0, 100, true, false, { Value("a", 50) } });
+  log.Apply({ 100, 101, false, false, { Removal("a", 101) } });
+  REQUIRE(log.Apply({ 99, 101, false, false, { Value("a", 100) } }).changes.empty());
+  REQUIRE(log.Since(0).changes.empty());
+}
+
 // Guards against configurations in quick succession that fill the memory of all nodes: each superseded
 // version was kept with its whole value.
 TEST_CASE("Superseded values are not kept", "[changelog][memory]")
