Report a value as removed only when the log drops it

Cause: a complete state that lacks a value made the log report the value's removal to the node, also when the log kept it because its revision is later than that of the complete state. Pages of a read are of different revisions, so a log may know such values.

Test: "A value later than a complete state is not reported as removed" failed before.

--- a/src/changefeed/internal/changelog.cpp
+++ b/src/changefeed/internal/changelog.cpp
@@ -38,8 +38,9 @@
       }
     }
     for (const Change& change : removed) {
-      this->ApplyChange(change);
-      fresh.changes.push_back(change);
+      if (this->ApplyChange(change)) {
+        fresh.changes.push_back(change);
+      }
     }
     // A complete state does not name what was removed since the known revision.
     this->removalsAfter = aBatch.upTo > this->revision ? aBatch.upTo : this->removalsAfter;
--- a/src/changefeed/tests/changefeed_tests.cpp
+++ b/src/changefeed/tests/changefeed_tests.cpp
@@ -233,6 +233,17 @@
   REQUIRE(behind.Since(0).changes.size() == 1);
 }
 
+// Guards against a leaf that is dropped although the log keeps its value: a complete state of an earlier
+// revision lacks values that a page of a later one contained.
+TEST_CASE("A value later than a complete state is not reported as removed", "[changelog]")
+{
+  ChangeLog log;
+  log.Apply({ 0, 100, true, false, { Value("a", 50), Value("later", 103) } });
+  const ChangeBatch fresh = log.Apply({ 0, 101, true, false, { Value("a", 50) } });
+  REQUIRE(fresh.changes.empty());
+  REQUIRE(log.Since(0).changes.size() == 2);
+}
+
 // Guards against a removed leaf that returns with a value from before its removal.
 TEST_CASE("A removed value does not return with an earlier revision", "[changelog]")
 {
