Answer every request that a stopping node has read before it ends

Cause: a stopping node took requests for half of the grace whatever time they need, passed waiting ones on until the end, and then closed all connections.

Change: the node tells the gateway when it ends. What waits for a connection is refused as soon as that is no longer so, with a 503 that is true, as the call is withdrawn before anything of it is written. Requests that have not arrived completely get 408. Related path: a request that waited for a connection until its route's timeout got a 504, which promises nothing; it is refused now.

--- a/src/framework/network/ihttpserver.h
+++ b/src/framework/network/ihttpserver.h
@@ -54,6 +54,9 @@
   /// \param aOnIdle called once when no connection is left, never from within the call
   virtual void Drain(std::chrono::milliseconds aIdleGrace, std::function<void()> aOnIdle) = 0;
 
+  /// Answers requests that have not arrived completely with 408 and closes their connections.
+  virtual void RejectIncomplete() = 0;
+
   /// Changes the limits of requests that begin from now on; the other settings are ignored.
   virtual void SetLimits(const HttpServerSettings& aSettings) = 0;
 
--- a/src/framework/network/internal/httpserver.cpp
+++ b/src/framework/network/internal/httpserver.cpp
@@ -105,6 +105,13 @@
     this->core->Remove(self);
   }
 
+  void RejectIncomplete()
+  {
+    if (this->stage == Stage::kHeader || this->stage == Stage::kBody) {
+      this->Reject(408, "the server stops before the request has arrived");
+    }
+  }
+
   void SetOnGone(std::uint64_t aRequest, std::function<void()> aFunction)
   {
     if (this->requestNumber != aRequest || this->stage != Stage::kHandling) {
@@ -578,6 +585,14 @@
     this->core->ReportIdle();
   }
 
+  void RejectIncomplete() override
+  {
+    const std::set<Ref<Connection>> all = this->core->connections;
+    for (const Ref<Connection>& connection : all) {
+      connection->RejectIncomplete();
+    }
+  }
+
   void SetLimits(const HttpServerSettings& aSettings) override
   {
     HttpServerSettings& own = this->core->settings;
--- a/src/framework/network/tests/httpserver_tests.cpp
+++ b/src/framework/network/tests/httpserver_tests.cpp
@@ -139,6 +139,23 @@
   CHECK(fixture.Works());
 }
 
+// Guards against a stopping server that closes a connection in the middle of a request with no answer.
+TEST_CASE("requests that have not arrived completely are answered with 408 when the server ends")
+{
+  Fixture fixture;
+  RawClient head(fixture.endpoint);
+  head.Send("GET /ok HTTP/1.1\r\nHo");
+  RawClient body(fixture.endpoint);
+  body.Send("POST /ok HTTP/1.1\r\nContent-Length: 9\r\n\r\nabc");
+  RawClient idle(fixture.endpoint);
+  std::this_thread::sleep_for(50ms);
+  fixture.served.Call([&] { fixture.server->RejectIncomplete(); });
+  CHECK(Has(head.ReadAll(), "HTTP/1.1 408"));
+  CHECK(Has(body.ReadAll(), "HTTP/1.1 408"));
+  idle.Send("GET /idle HTTP/1.1\r\nConnection: close\r\n\r\n");
+  CHECK(Has(idle.ReadAll(), "[GET/idle:0]"));
+}
+
 // Guards against the limit of chunk heads being applied to the data of a chunk.
 TEST_CASE("a chunk larger than the limit of a header is received")
 {
--- a/src/gateway/igateway.h
+++ b/src/gateway/igateway.h
@@ -94,6 +94,11 @@
   /// Sets this node's share of the fleet's extra load slack, above 0, at most 1.
   virtual void SetExtraLoadShare(double aShare) = 0;
 
+  /// Sets the time at which this node ends. Requests in progress are answered by then. A request that cannot
+  /// be answered before, as far as its route's times tell, is refused: at its start, or while no leaf has got
+  /// it.
+  virtual void SetEnd(TimePoint aEnd) = 0;
+
   /// Starts a request.
   /// \param aHandler called once unless the request is abandoned; may be called from within Start
   /// \return handle for Abandon; 0 when the request was answered within Start
--- a/src/gateway/ileafexchange.h
+++ b/src/gateway/ileafexchange.h
@@ -69,6 +69,10 @@
   /// Ends a call and closes its connection, so that the leaf stops working on it.
   virtual void Cancel(std::uint64_t aCall) = 0;
 
+  /// Ends a call of which nothing has been written; other calls continue.
+  /// \return whether the call was ended, so that its leaf will never get it
+  virtual bool Withdraw(std::uint64_t aCall) = 0;
+
   /// Ends a call whose leaf did not answer. Also closes the idle connections to that leaf: they may be
   /// broken.
   virtual void Expire(std::uint64_t aCall) = 0;
--- a/src/gateway/internal/callsender.cpp
+++ b/src/gateway/internal/callsender.cpp
@@ -102,6 +102,19 @@
   this->exchange.Cancel(aCall);
 }
 
+bool
+CallSender::Withdraw(std::uint64_t aCall)
+{
+  if (!this->exchange.Withdraw(aCall)) {
+    return false;
+  }
+  const std::unique_ptr<Call> call = this->Take(aCall);
+  if (call) {
+    call->leaf->condition.OnCancelled();
+  }
+  return true;
+}
+
 void
 CallSender::Expire(std::uint64_t aCall)
 {
--- a/src/gateway/internal/callsender.h
+++ b/src/gateway/internal/callsender.h
@@ -40,6 +40,10 @@
   /// Cancels a call at once because its caller has disconnected.
   void Cancel(std::uint64_t aCall);
 
+  /// Ends a call of which nothing has been written.
+  /// \return whether it was ended
+  bool Withdraw(std::uint64_t aCall);
+
   /// Ends a call at once because its leaf did not answer in time.
   void Expire(std::uint64_t aCall);
 
--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -12,6 +12,7 @@
 constexpr Duration kCallerRoundTrip = std::chrono::milliseconds(9);
 constexpr int kObjectiveMarginPart =
   20; // 1/20 of the objective is reserved for a late wake-up of the process
+constexpr Duration kRefuseInterval = std::chrono::milliseconds(50);
 constexpr Duration kNotReadyRetry = std::chrono::milliseconds(300);
 
 std::string_view
@@ -68,6 +69,8 @@
   {
   }
 
+  ~Gateway() override { this->context.timers.Cancel(this->endTimer); }
+
   bool SetRouting(Ref<const RoutingState> aRouting) override
   {
     if (this->routing && aRouting->version <= this->routing->version) {
@@ -97,6 +100,14 @@
 
   void SetExtraLoadShare(double aShare) override { this->budget.SetShare(aShare); }
 
+  void SetEnd(TimePoint aEnd) override
+  {
+    this->context.end = aEnd;
+    this->plain.LimitToEnd();
+    this->scatter.LimitToEnd();
+    this->RefuseWaiting();
+  }
+
   std::uint64_t Start(GatewayRequest aRequest, Handler aHandler) override
   {
     RunnerRequest request;
@@ -116,6 +127,10 @@
       return 0;
     }
     this->SetTimes(request, aRequest.timeBudget);
+    if (!this->context.CanAnswer(*request.times, request.received)) {
+      this->Reply(request, aHandler, Refusal("stopping", kStoppingRetry, this->random));
+      return 0;
+    }
     return this->Run(std::move(request), std::move(aHandler));
   }
 
@@ -158,7 +173,8 @@
     const Duration waited = times->RecordTimeBudget(aTimeBudget, now);
     const Duration objective = route.objective;
     aRequest.deadline = now + aTimeBudget;
-    aRequest.answerBy = now + std::min<Duration>(aTimeBudget - kReturnMargin, route.timeout);
+    aRequest.answerBy =
+      std::min(this->context.end, now + std::min<Duration>(aTimeBudget - kReturnMargin, route.timeout));
     aRequest.objective = now + objective - objective / kObjectiveMarginPart - kCallerRoundTrip - waited;
   }
 
@@ -183,6 +199,16 @@
     return handle;
   }
 
+  /// Refuses requests in time for their callers to go elsewhere, again and again until this node ends.
+  void RefuseWaiting()
+  {
+    const TimePoint now = this->clock.Now();
+    if (now < this->context.end) {
+      this->endTimer = this->context.timers.At(now + kRefuseInterval, [this] { this->RefuseWaiting(); });
+    }
+    this->plain.RefuseWaiting();
+  }
+
   const std::string& ServiceOf(const RouteSpec& aRoute)
   {
     return aRoute.split.empty() ? aRoute.service : this->splits.Next(aRoute);
@@ -213,6 +239,7 @@
   std::unordered_map<std::string, Ref<RouteTimes>> times;
   std::unordered_map<std::uint64_t, Handler> handlers;
   std::uint64_t lastHandle = 0;
+  TimerId endTimer = 0;
 };
 
 } // namespace
--- a/src/gateway/internal/leafattempts.cpp
+++ b/src/gateway/internal/leafattempts.cpp
@@ -29,6 +29,17 @@
   this->mayHaveRun -= ran ? 0 : 1;
 }
 
+void
+LeafAttempts::WithdrawUnwritten(CallSender& aSender)
+{
+  const auto withdrawn =
+    std::remove_if(this->calls.begin(), this->calls.end(), [&aSender](const PendingAttempt& aPending) {
+      return aSender.Withdraw(aPending.call);
+    });
+  this->mayHaveRun -= static_cast<std::uint32_t>(this->calls.end() - withdrawn);
+  this->calls.erase(withdrawn, this->calls.end());
+}
+
 std::vector<Ref<LeafHandle>>
 LeafAttempts::LeafsWithoutLostAnswer() const
 {
@@ -51,6 +62,9 @@
 {
   const TimePoint now = aContext.clock.Now();
   const RouteSpec& route = *aRequest.route;
+  if (!aContext.CanAnswer(*aRequest.times, now)) {
+    return false;
+  }
   const bool extra = aPurpose == CallPurpose::kExtra;
   LeafRequirements requirements;
   requirements.typical = aRequest.times->Typical();
--- a/src/gateway/internal/leafattempts.h
+++ b/src/gateway/internal/leafattempts.h
@@ -34,6 +34,9 @@
   /// Records the result of a call.
   void OnResult(std::uint64_t aCall, LeafOutcome aOutcome);
 
+  /// Ends the calls of which nothing has been written.
+  void WithdrawUnwritten(CallSender& aSender);
+
   /// \return the used leafs that are not to get the request again
   std::vector<Ref<LeafHandle>> LeafsWithoutLostAnswer() const;
 };
--- a/src/gateway/internal/plainrunner.cpp
+++ b/src/gateway/internal/plainrunner.cpp
@@ -119,7 +119,10 @@
     return;
   }
   if (aRun.attempts.mayHaveRun == 0) {
-    this->Finish(aRun, Refusal("leafs_full", kLeafsFullRetry, this->context.random));
+    const bool stopping = !this->context.CanAnswer(*aRun.request.times, this->context.clock.Now());
+    this->Finish(aRun,
+                 stopping ? Refusal("stopping", kStoppingRetry, this->context.random)
+                          : Refusal("leafs_full", kLeafsFullRetry, this->context.random));
     return;
   }
   GatewayReply reply;
@@ -156,10 +159,7 @@
   run.timer = 0;
   const TimePoint now = this->context.clock.Now();
   if (now >= run.request.answerBy) {
-    GatewayReply reply;
-    reply.outcome = GatewayOutcome::kTimedOut;
-    reply.reason = "timeout";
-    this->Finish(run, std::move(reply));
+    this->OnTimeout(run);
     return;
   }
   run.attempts.hedged = true;
@@ -169,6 +169,46 @@
   this->ArmTimer(run);
 }
 
+void
+PlainRunner::OnTimeout(Run& aRun)
+{
+  aRun.attempts.WithdrawUnwritten(this->context.sender);
+  if (aRun.attempts.mayHaveRun == 0) {
+    this->FinishUnanswered(aRun);
+    return;
+  }
+  GatewayReply reply;
+  reply.outcome = GatewayOutcome::kTimedOut;
+  reply.reason = this->context.clock.Now() < this->context.end ? "timeout" : "stopping";
+  this->Finish(aRun, std::move(reply));
+}
+
+void
+PlainRunner::LimitToEnd()
+{
+  for (const std::uint64_t handle : this->runs.Handles()) {
+    Run& run = *this->runs.Find(handle);
+    run.request.answerBy = std::min(run.request.answerBy, this->context.end);
+    this->ArmTimer(run);
+  }
+}
+
+void
+PlainRunner::RefuseWaiting()
+{
+  const TimePoint now = this->context.clock.Now();
+  for (const std::uint64_t handle : this->runs.Handles()) {
+    Run& run = *this->runs.Find(handle);
+    if (this->context.CanAnswer(*run.request.times, now)) {
+      continue;
+    }
+    run.attempts.WithdrawUnwritten(this->context.sender);
+    if (run.attempts.calls.empty()) {
+      this->FinishUnanswered(run);
+    }
+  }
+}
+
 void
 PlainRunner::Finish(Run& aRun, GatewayReply aReply)
 {
--- a/src/gateway/internal/plainrunner.h
+++ b/src/gateway/internal/plainrunner.h
@@ -17,6 +17,12 @@
   /// \return a refusal when no leaf can run the request now; it is not started then
   std::optional<GatewayReply> Start(RunnerRequest aRequest, const std::string& aService);
 
+  /// Applies the end of the node to the requests in progress.
+  void LimitToEnd();
+
+  /// Refuses the requests that no leaf has got and that cannot be answered before the node ends.
+  void RefuseWaiting();
+
   /// Removes a request and cancels its calls.
   void Abandon(std::uint64_t aHandle);
 
@@ -37,6 +43,8 @@
   void FinishUnanswered(Run& aRun);
   void ArmTimer(Run& aRun);
   void OnTimer(std::uint64_t aHandle);
+  /// Answers a request whose time is over: with a refusal if no leaf has got it.
+  void OnTimeout(Run& aRun);
   Duration HedgeDelay(const Run& aRun) const;
   void Finish(Run& aRun, GatewayReply aReply);
 
--- a/src/gateway/internal/runnercontext.h
+++ b/src/gateway/internal/runnercontext.h
@@ -6,6 +6,7 @@
 #include "gateway/internal/leafchoice.h"
 #include <memory>
 #include <unordered_map>
+#include <vector>
 
 namespace yp {
 
@@ -23,6 +24,13 @@
   ExtraLoadShare& budget;
   const GatewayOptions& options;
   GatewayStats& stats;
+  TimePoint end = TimePoint::max(); ///< when this node ends; all requests are answered by then
+
+  /// \return whether a call that is sent now can be answered before this node ends
+  bool CanAnswer(const RouteTimes& aTimes, TimePoint aNow) const
+  {
+    return this->end == TimePoint::max() || aNow + aTimes.High() <= this->end;
+  }
 
   /// Spends one repeated request from the budget and counts the result.
   /// \return whether the request may be sent
@@ -37,6 +45,9 @@
   }
 };
 
+// A stopping node is given out no more, so a retry reaches another one, which can serve it at once.
+constexpr Duration kStoppingRetry = std::chrono::milliseconds(20);
+
 /// A request in progress.
 struct RunnerRequest
 {
@@ -91,6 +102,17 @@
     return run;
   }
 
+  /// \return the handles of all requests
+  std::vector<std::uint64_t> Handles() const
+  {
+    std::vector<std::uint64_t> handles;
+    handles.reserve(this->runs.size());
+    for (const auto& [handle, run] : this->runs) {
+      handles.push_back(handle);
+    }
+    return handles;
+  }
+
 private:
   ITimers& timers;
   std::unordered_map<std::uint64_t, std::unique_ptr<Run>> runs;
--- a/src/gateway/internal/scatterrunner.cpp
+++ b/src/gateway/internal/scatterrunner.cpp
@@ -219,7 +219,7 @@
     return true;
   }
   if (aNow >= aRun.request.answerBy) {
-    this->Fail(aRun, GatewayOutcome::kTimedOut, "timeout");
+    this->Fail(aRun, GatewayOutcome::kTimedOut, aNow < this->context.end ? "timeout" : "stopping");
     return true;
   }
   return false;
@@ -327,6 +327,18 @@
   }
 }
 
+void
+ScatterRunner::LimitToEnd()
+{
+  for (const std::uint64_t handle : this->runs.Handles()) {
+    Run& run = *this->runs.Find(handle);
+    run.request.answerBy = std::min(run.request.answerBy, this->context.end);
+    this->context.timers.Cancel(run.timer);
+    run.timer = 0;
+    this->ArmTimer(run, this->context.clock.Now());
+  }
+}
+
 void
 ScatterRunner::Abandon(std::uint64_t aHandle)
 {
--- a/src/gateway/internal/scatterrunner.h
+++ b/src/gateway/internal/scatterrunner.h
@@ -22,6 +22,9 @@
   /// started then
   std::optional<GatewayReply> Start(RunnerRequest aRequest);
 
+  /// Applies the end of the node to the queries in progress.
+  void LimitToEnd();
+
   /// Removes a query and cancels its calls.
   void Abandon(std::uint64_t aHandle);
 
--- a/src/gateway/tests/fakeexchange.h
+++ b/src/gateway/tests/fakeexchange.h
@@ -4,6 +4,7 @@
 #include "framework/global/tests/faketimers.h"
 #include "gateway/gateway.h"
 #include <functional>
+#include <set>
 
 namespace yp {
 
@@ -15,6 +16,7 @@
   std::string body = "body";
   unsigned status = 200;
   std::string signature; ///< empty: a unique signature is generated
+  bool waits = false;    ///< the call waits for a connection, so that nothing of it is written
 };
 
 /// \return script in which every leaf gives the same outcome after the same time
@@ -57,6 +59,9 @@
     this->sent.push_back(leaf);
     this->deadlines.push_back(aCall.deadline);
     const FakeAnswer answer = this->script ? this->script(leaf) : FakeAnswer();
+    if (answer.waits) {
+      this->unwritten.insert(aCall.id);
+    }
     if (answer.delay < Duration::zero()) {
       this->pendingCalls[aCall.id] = 0;
       return;
@@ -77,6 +82,15 @@
 
   void Cancel(std::uint64_t aCall) override { this->End(aCall); }
   void Expire(std::uint64_t aCall) override { this->End(aCall); }
+  bool Withdraw(std::uint64_t aCall) override
+  {
+    const auto found = this->pendingCalls.find(aCall);
+    if (found == this->pendingCalls.end() || this->unwritten.count(aCall) == 0) {
+      return false;
+    }
+    this->End(aCall);
+    return true;
+  }
   void SetConnectionShare(double) override {}
   void SetConnectionLimits(const std::map<std::string, std::uint32_t>&) override {}
 
@@ -89,8 +103,9 @@
   std::vector<std::string> sent;    ///< ids of the called leafs, in the order of the calls
   std::vector<TimePoint> deadlines; ///< in the order of the calls
   std::map<std::uint64_t, TimerId>
-    pendingCalls;        ///< calls without an answer and their answer timers; 0: never answered
-  std::size_t ended = 0; ///< calls cancelled or expired before their answer
+    pendingCalls;                    ///< calls without an answer and their answer timers; 0: never answered
+  std::set<std::uint64_t> unwritten; ///< calls that wait for a connection
+  std::size_t ended = 0;             ///< calls cancelled or expired before their answer
 
 private:
   void End(std::uint64_t aCall)
--- a/src/gateway/tests/gateway_tests.cpp
+++ b/src/gateway/tests/gateway_tests.cpp
@@ -154,6 +154,79 @@
   REQUIRE(fixture.exchange.pendingCalls.empty());
 }
 
+// Guards against requests that a stopping node cuts with no answer when it ends.
+TEST_CASE("A node that ends answers what its leafs still work on before it ends", "[stop]")
+{
+  const std::string path = GENERATE("/one/x", "/once/x", "/all/x");
+  GatewayFixture fixture;
+  fixture.exchange.script = Always(LeafOutcome::kAnswered, kNever);
+  fixture.SendRequest(path, milliseconds(5000));
+  fixture.timers.RunFor(milliseconds(100));
+  const TimePoint end = fixture.clock.Now() + milliseconds(400);
+  fixture.gateway->SetEnd(end);
+  fixture.timers.RunFor(milliseconds(400));
+  REQUIRE(fixture.replies.size() == 1);
+  REQUIRE(fixture.replies[0].outcome == GatewayOutcome::kTimedOut);
+  REQUIRE(fixture.repliedAt <= end);
+}
+
+// Guards against a request that no leaf has got and that ends without a refusal, so that it may not be
+// repeated.
+TEST_CASE("A node that ends refuses what no leaf has got, in time for another node", "[stop]")
+{
+  GatewayFixture fixture;
+  FakeAnswer slow;
+  slow.delay = milliseconds(300);
+  fixture.exchange.script = [&slow](const std::string&) { return slow; };
+  for (int i = 0; i < 200; ++i) {
+    fixture.SendRequest("/once/x", milliseconds(3000));
+    fixture.timers.RunFor(milliseconds(310));
+  }
+  fixture.replies.clear();
+  slow.delay = kNever;
+  slow.waits = true;
+  fixture.SendRequest("/once/x", milliseconds(3000));
+  const TimePoint end = fixture.clock.Now() + milliseconds(1000);
+  fixture.gateway->SetEnd(end);
+  fixture.timers.RunFor(milliseconds(1000));
+  REQUIRE(fixture.replies.size() == 1);
+  REQUIRE(fixture.replies[0].outcome == GatewayOutcome::kRefused);
+  REQUIRE(fixture.replies[0].reason == std::string("stopping"));
+  REQUIRE(fixture.repliedAt <= end - milliseconds(250));
+  REQUIRE(fixture.exchange.pendingCalls.empty());
+}
+
+TEST_CASE("A node that ends refuses a new request that cannot be answered before, without sending it",
+          "[stop]")
+{
+  GatewayFixture fixture;
+  fixture.exchange.script = Always(LeafOutcome::kAnswered, milliseconds(300));
+  for (int i = 0; i < 200; ++i) {
+    fixture.SendRequest("/once/x", milliseconds(3000));
+    fixture.timers.RunFor(milliseconds(310));
+  }
+  fixture.replies.clear();
+  const std::size_t sent = fixture.exchange.sent.size();
+  fixture.gateway->SetEnd(fixture.clock.Now() + milliseconds(250));
+  fixture.SendRequest("/once/x", milliseconds(3000));
+  REQUIRE(fixture.replies.at(0).outcome == GatewayOutcome::kRefused);
+  REQUIRE(fixture.exchange.sent.size() == sent);
+}
+
+// Guards against a 504, which promises nothing, for a request that no leaf has got when its time is over.
+TEST_CASE("A request that waited for a connection until its timeout is refused", "[refusal][deadline]")
+{
+  GatewayFixture fixture;
+  FakeAnswer waiting;
+  waiting.delay = kNever;
+  waiting.waits = true;
+  fixture.exchange.script = [&waiting](const std::string&) { return waiting; };
+  fixture.SendRequest("/once/x", milliseconds(2000));
+  fixture.timers.RunFor(milliseconds(2000));
+  REQUIRE(fixture.replies.at(0).outcome == GatewayOutcome::kRefused);
+  REQUIRE(fixture.exchange.pendingCalls.empty());
+}
+
 TEST_CASE("Draining and withdrawn leafs get no new requests", "[drain]")
 {
   GatewayFixture fixture;
--- a/src/gateway/tests/queueingexchange.h
+++ b/src/gateway/tests/queueingexchange.h
@@ -186,6 +186,7 @@
 
   void Cancel(std::uint64_t aCall) override { this->SendEnd(aCall); }
   void Expire(std::uint64_t aCall) override { this->SendEnd(aCall); }
+  bool Withdraw(std::uint64_t) override { return false; }
   void SetConnectionShare(double) override {}
   void SetConnectionLimits(const std::map<std::string, std::uint32_t>&) override {}
 
--- a/src/leafhttp/internal/leafhttpexchange.cpp
+++ b/src/leafhttp/internal/leafhttpexchange.cpp
@@ -33,6 +33,16 @@
   }
 
   void Cancel(std::uint64_t aCall) override { this->End(aCall, false); }
+  bool Withdraw(std::uint64_t aCall) override
+  {
+    const auto found = this->calls.find(aCall);
+    if (found == this->calls.end() || !found->second->Withdraw(aCall)) {
+      return false;
+    }
+    this->calls.erase(found);
+    return true;
+  }
+
   void Expire(std::uint64_t aCall) override { this->End(aCall, true); }
 
   void SetConnectionShare(double aShare) override
--- a/src/leafhttp/internal/leafhttppool.cpp
+++ b/src/leafhttp/internal/leafhttppool.cpp
@@ -120,15 +120,23 @@
   this->OpenForWaiting();
 }
 
-void
-LeafHttpPool::Cancel(std::uint64_t aCall, bool aCloseIdle)
+bool
+LeafHttpPool::Withdraw(std::uint64_t aCall)
 {
   const auto queued = std::find_if(this->waiting.begin(),
                                    this->waiting.end(),
                                    [aCall](const PendingCall& aOther) { return aOther.call.id == aCall; });
-  if (queued != this->waiting.end()) {
-    this->waiting.erase(queued);
+  if (queued == this->waiting.end()) {
+    return false;
   }
+  this->waiting.erase(queued);
+  return true;
+}
+
+void
+LeafHttpPool::Cancel(std::uint64_t aCall, bool aCloseIdle)
+{
+  this->Withdraw(aCall);
   const auto busy =
     std::find_if(this->connections.begin(),
                  this->connections.end(),
--- a/src/leafhttp/internal/leafhttppool.h
+++ b/src/leafhttp/internal/leafhttppool.h
@@ -25,6 +25,10 @@
   /// \param aCloseIdle whether to close the idle connections too
   void Cancel(std::uint64_t aCall, bool aCloseIdle);
 
+  /// Ends a call that waits for a connection.
+  /// \return whether the call was waiting
+  bool Withdraw(std::uint64_t aCall);
+
   /// \return whether the pool has no calls and its leaf is withdrawn, so that no new ones follow
   bool IsRemovable() const;
 
