Send a leaf nothing more once it says in an answer that it leaves

The exchange applies the notice of every response to the leaf, those to other or answered requests too, before the connection takes its next call. The leaf then accepts no requests: first calls, parts, hedges and repeats go elsewhere. Calls that wait for a connection are ended unwritten (outcome held_back) and replaced, at any leaf that accepts no requests any more. It holds for the incarnation, that is until its entry is removed or has another start time. If all leafs of a service leave, requests are refused at once (reason leafs_leaving).

Other nodes are not told: each learns it from its own next answer, and the rule is for each machine; a field of the gossip records would cost bytes in every message.

--- a/src/gateway/ileafexchange.h
+++ b/src/gateway/ileafexchange.h
@@ -37,6 +37,7 @@
   kNotRun,      ///< the leaf reported that it did not run the request
   kMisdirected, ///< another leaf uses the address now; the request was not run
   kNotSent,     ///< no part of the request was written
+  kHeldBack,    ///< not written because the leaf accepts no requests any more
   kLost         ///< written without a complete answer; the request may have run
 };
 
@@ -54,7 +55,7 @@
   Error error;           ///< kNotSent, kLost
 };
 
-/// Transports calls to leafs. Used on one thread.
+/// Transports calls to leafs and applies the notices in their answers to the leafs. Used on one thread.
 class ILeafExchange
 {
 public:
--- a/src/gateway/internal/callsender.cpp
+++ b/src/gateway/internal/callsender.cpp
@@ -169,6 +169,9 @@
     case LeafOutcome::kNotSent:
       condition.OnUnreachable(aCall.sentAt, now);
       return;
+    case LeafOutcome::kHeldBack:
+      condition.OnCancelled();
+      return;
     case LeafOutcome::kLost:
       condition.OnAnswerLost(aCall.sentAt, now);
       return;
--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -278,6 +278,8 @@
       return "misdirected";
     case LeafOutcome::kNotSent:
       return "not_sent";
+    case LeafOutcome::kHeldBack:
+      return "held_back";
     case LeafOutcome::kLost:
       return "lost";
   }
--- a/src/gateway/internal/leafattempts.h
+++ b/src/gateway/internal/leafattempts.h
@@ -12,6 +12,13 @@
   kExtra        ///< repeated request; spends budget and goes only to a responsive leaf
 };
 
+/// \return whether nothing of a call was written, so that another call may replace it
+inline bool
+WasUnwritten(LeafOutcome aOutcome)
+{
+  return aOutcome == LeafOutcome::kNotSent || aOutcome == LeafOutcome::kHeldBack;
+}
+
 /// A call without a result.
 struct PendingAttempt
 {
--- a/src/gateway/internal/leafdirectory.cpp
+++ b/src/gateway/internal/leafdirectory.cpp
@@ -22,6 +22,22 @@
          this->startTimeMs == aOther.startTimeMs;
 }
 
+bool
+LeafHandle::Apply(const LeafNotice& aNotice, const std::string& aRequest)
+{
+  if (!aNotice.leaving || this->leaving) {
+    return false;
+  }
+  this->leaving = true;
+  LogEvent(LogLevel::kInfo,
+           "leaf_leaving",
+           { { "leaf", this->registration.id },
+             { "service", this->registration.service },
+             { "answer_to", aRequest },
+             { "in_flight", this->condition.InFlight() } });
+  return true;
+}
+
 bool
 LeafDirectory::Apply(const LeafRegistration& aRegistration)
 {
--- a/src/gateway/internal/plainrunner.cpp
+++ b/src/gateway/internal/plainrunner.cpp
@@ -13,6 +13,18 @@
 constexpr Duration kNoLeafRetry = std::chrono::milliseconds(400);
 constexpr Duration kLeafsFullRetry = std::chrono::milliseconds(120);
 
+/// \return why a service has no usable leaf, for logs
+const char*
+ReasonForNoLeaf(const std::vector<Ref<LeafHandle>>& aLeafs)
+{
+  if (aLeafs.empty()) {
+    return "no_leaf";
+  }
+  const bool accepting = std::any_of(
+    aLeafs.begin(), aLeafs.end(), [](const Ref<LeafHandle>& aLeaf) { return aLeaf->AcceptsRequests(); });
+  return accepting ? "leafs_unreachable" : "leafs_leaving";
+}
+
 } // namespace
 
 PlainRunner::PlainRunner(RunnerContext& aContext, RunnerFinished aFinished)
@@ -28,7 +40,7 @@
   const std::vector<Ref<LeafHandle>>& leafs = this->context.leafs.Leafs(aService);
   this->context.budget.OnRequest(aService);
   if (!HasUsableLeaf(leafs, this->context.clock.Now())) {
-    return Refusal(leafs.empty() ? "no_leaf" : "leafs_unreachable", kNoLeafRetry, this->context.random);
+    return Refusal(ReasonForNoLeaf(leafs), kNoLeafRetry, this->context.random);
   }
   auto owned = std::make_unique<Run>();
   owned->request = std::move(aRequest);
@@ -83,7 +95,7 @@
   if (!aRun.attempts.calls.empty()) {
     return;
   }
-  if (outcome == LeafOutcome::kNotSent && ++aRun.attempts.unsent <= kMaxUnsent &&
+  if (WasUnwritten(outcome) && ++aRun.attempts.unsent <= kMaxUnsent &&
       this->Send(aRun, CallPurpose::kReplacement)) {
     this->ArmTimer(aRun);
     return;
--- a/src/gateway/internal/scatterrunner.cpp
+++ b/src/gateway/internal/scatterrunner.cpp
@@ -166,7 +166,7 @@
   if (!part.attempts.calls.empty()) {
     return;
   }
-  const bool unsent = aResult.outcome == LeafOutcome::kNotSent;
+  const bool unsent = WasUnwritten(aResult.outcome);
   if (unsent && ++part.attempts.unsent <= kMaxUnsent && this->Send(aRun, aPart, CallPurpose::kReplacement)) {
     return;
   }
--- a/src/gateway/leafdirectory.h
+++ b/src/gateway/leafdirectory.h
@@ -99,6 +99,12 @@
   bool probing = false;               ///< a probe after an exclusion has no result yet
 };
 
+/// What a leaf says of itself in an answer, beside the answer.
+struct LeafNotice
+{
+  bool leaving = false; ///< the leaf leaves and gets no new requests
+};
+
 /// One leaf with its registration, observed condition and call limit.
 struct LeafHandle : RefCounted<LeafHandle>
 {
@@ -108,11 +114,17 @@
   TimePoint coldUntil;     ///< the leaf is slow after its start until then
   bool withdrawn = false;  ///< no longer registered, for good
   bool superseded = false; ///< a later registration holds its address; ends when that one is removed
+  bool leaving = false;    ///< announced in an answer that it leaves; holds for this incarnation
+
+  /// Applies what the leaf said in an answer. Nothing takes a notice of leaving back.
+  /// \param aRequest id of the request that was answered, for the log
+  /// \return whether the leaf began to leave
+  bool Apply(const LeafNotice& aNotice, const std::string& aRequest);
 
   /// \return whether the leaf may get new requests
   bool AcceptsRequests() const
   {
-    return !this->withdrawn && !this->superseded && !this->registration.draining;
+    return !this->withdrawn && !this->superseded && !this->leaving && !this->registration.draining;
   }
 };
 
--- a/src/gateway/tests/fakeexchange.h
+++ b/src/gateway/tests/fakeexchange.h
@@ -16,6 +16,7 @@
   std::string body = "body";
   unsigned status = 200;
   std::string signature; ///< empty: a unique signature is generated
+  LeafNotice notice;     ///< what the leaf says of itself in the answer
   bool waits = false;    ///< the call waits for a connection, so that nothing of it is written
 };
 
@@ -67,9 +68,11 @@
       return;
     }
     const std::uint64_t id = aCall.id;
+    const Ref<LeafHandle> handle = aCall.leaf;
     this->pendingCalls[id] =
-      this->timers.At(this->clock.Now() + answer.delay, [this, id, leaf, answer, aHandler] {
+      this->timers.At(this->clock.Now() + answer.delay, [this, id, leaf, handle, answer, aHandler] {
         this->pendingCalls.erase(id);
+        handle->Apply(answer.notice, std::to_string(id));
         LeafResult result;
         result.outcome = answer.outcome;
         result.elapsed = answer.delay;
--- a/src/gateway/tests/gateway_tests.cpp
+++ b/src/gateway/tests/gateway_tests.cpp
@@ -227,6 +227,87 @@
   REQUIRE(fixture.exchange.pendingCalls.empty());
 }
 
+// Guards against new work at a leaf that leaves: it says so in its answers before the store does, or without
+// it.
+TEST_CASE("A leaf that says in an answer that it leaves gets no new requests", "[drain][leaving]")
+{
+  const LeafOutcome outcome = GENERATE(LeafOutcome::kAnswered, LeafOutcome::kFailed, LeafOutcome::kNotRun);
+  const std::string path = GENERATE("/one/x", "/once/x", "/all/x");
+  GatewayFixture fixture;
+  std::set<std::string> leaving;
+  fixture.exchange.script = [&](const std::string& aLeaf) {
+    FakeAnswer answer;
+    if (aLeaf == "plain-a" || aLeaf == "shard0-a") {
+      leaving.insert(aLeaf);
+      answer.notice.leaving = true;
+      answer.outcome = outcome;
+    }
+    return answer;
+  };
+  for (int i = 0; i < 30; ++i) {
+    fixture.SendRequest(path);
+    fixture.timers.RunFor(milliseconds(50));
+  }
+  REQUIRE(leaving.size() == 1);
+  REQUIRE(fixture.exchange.CountSent(*leaving.begin()) == 1);
+}
+
+TEST_CASE("Once all leafs of a service leave, its requests are refused without being sent",
+          "[drain][leaving]")
+{
+  GatewayFixture fixture;
+  FakeAnswer answer;
+  answer.notice.leaving = true;
+  fixture.exchange.script = [&answer](const std::string&) { return answer; };
+  for (int i = 0; i < 5; ++i) {
+    fixture.SendRequest("/one/x");
+    fixture.timers.RunFor(milliseconds(50));
+  }
+  REQUIRE(fixture.exchange.sent.size() == 2);
+  REQUIRE(fixture.replies.back().outcome == GatewayOutcome::kRefused);
+  REQUIRE(fixture.replies.back().reason == std::string("leafs_leaving"));
+}
+
+TEST_CASE("An answer that arrives after its request was answered still says that its leaf leaves",
+          "[drain][leaving]")
+{
+  GatewayFixture fixture;
+  fixture.RunQueries(40);
+  fixture.exchange.script = [](const std::string& aLeaf) {
+    FakeAnswer answer;
+    answer.delay = milliseconds(aLeaf == "shard0-a" ? 250 : 10);
+    answer.notice.leaving = aLeaf == "shard0-a";
+    return answer;
+  };
+  const std::size_t before = fixture.exchange.CountSent("shard0-a");
+  while (fixture.exchange.CountSent("shard0-a") == before) {
+    fixture.RunQueries(1);
+  }
+  fixture.timers.RunFor(milliseconds(300));
+  fixture.RunQueries(20);
+  REQUIRE(fixture.exchange.CountSent("shard0-a") == before + 1);
+}
+
+TEST_CASE("Only a new incarnation or the removal of its entry ends a leaf's leaving", "[drain][leaving]")
+{
+  GatewayFixture fixture;
+  const Ref<LeafHandle> leaf = fixture.leafs.Leafs("plain")[0];
+  LeafNotice notice;
+  notice.leaving = true;
+  leaf->Apply(notice, "request");
+  leaf->Apply({}, "request");
+  REQUIRE_FALSE(leaf->AcceptsRequests());
+  LeafRegistration again = leaf->registration;
+  again.slots = 3;
+  fixture.leafs.Apply(again);
+  REQUIRE_FALSE(fixture.leafs.Leafs("plain")[0]->AcceptsRequests());
+  again.startTimeMs = 9;
+  fixture.leafs.Apply(again);
+  REQUIRE(std::count_if(fixture.leafs.Leafs("plain").begin(),
+                        fixture.leafs.Leafs("plain").end(),
+                        [](const Ref<LeafHandle>& aLeaf) { return aLeaf->AcceptsRequests(); }) == 2);
+}
+
 TEST_CASE("Draining and withdrawn leafs get no new requests", "[drain]")
 {
   GatewayFixture fixture;
--- a/src/leafhttp/internal/leafconnection.cpp
+++ b/src/leafhttp/internal/leafconnection.cpp
@@ -289,6 +289,10 @@
     response.headers.push_back({ std::string(field.name_string()), std::string(field.value()) });
   }
   response.body = std::move(message.body());
+  // Before the connection is idle, as it may then get the next call.
+  const LeafCall& answered = this->current->call;
+  this->core.stats.leavingLeafs +=
+    answered.leaf->Apply(this->core.dialect.ReadNotice(response), answered.request->id) ? 1 : 0;
   const bool selfDelimited = message.has_content_length() || message.chunked();
   const ResponseMatch match = this->core.dialect.MatchRequest(this->current->call, response);
   // A leaf that names requests in its responses names them in all, so a response without an id is not an
--- a/src/leafhttp/internal/leafhttppool.cpp
+++ b/src/leafhttp/internal/leafhttppool.cpp
@@ -88,6 +88,7 @@
     return;
   }
   std::rotate(found, found + 1, this->connections.end());
+  this->HoldBackWaiting();
   if (this->waiting.empty()) {
     return;
   }
@@ -100,23 +101,42 @@
 LeafHttpPool::OnConnectFailed(LeafConnection& aConnection, const Error& aError)
 {
   this->Drop(aConnection);
-  if (!this->connections.empty() || this->waiting.empty()) {
-    return;
+  if (this->connections.empty()) {
+    this->EndWaiting(LeafOutcome::kNotSent, aError);
   }
-  std::deque<PendingCall> failed;
-  failed.swap(this->waiting);
-  for (PendingCall& call : failed) {
+}
+
+void
+LeafHttpPool::EndWaiting(LeafOutcome aOutcome, const Error& aError)
+{
+  std::deque<PendingCall> ended;
+  ended.swap(this->waiting);
+  for (PendingCall& call : ended) {
     LeafResult result;
-    result.outcome = LeafOutcome::kNotSent;
+    result.outcome = aOutcome;
     result.error = aError;
     call.handler(std::move(result));
   }
 }
 
+void
+LeafHttpPool::HoldBackWaiting()
+{
+  if (this->waiting.empty() || this->leaf->AcceptsRequests()) {
+    return;
+  }
+  this->EndWaiting(LeafOutcome::kHeldBack,
+                   Error{ ErrorCode::kUnavailable,
+                          "leaf.queue",
+                          ToString(this->leaf->registration.endpoint),
+                          "the leaf accepts no requests any more" });
+}
+
 void
 LeafHttpPool::OnClosed(LeafConnection& aConnection)
 {
   this->Drop(aConnection);
+  this->HoldBackWaiting();
   this->OpenForWaiting();
 }
 
--- a/src/leafhttp/internal/leafhttppool.h
+++ b/src/leafhttp/internal/leafhttppool.h
@@ -39,6 +39,11 @@
   void OnClosed(LeafConnection& aConnection) override;
 
 private:
+  /// Ends the calls that wait for a connection.
+  void EndWaiting(LeafOutcome aOutcome, const Error& aError);
+
+  /// Ends the calls that wait for a connection if the leaf accepts no requests any more.
+  void HoldBackWaiting();
   Ref<LeafConnection> TakeIdle(bool aFresh);
   void OpenForWaiting();
   void CloseIdle();
--- a/src/leafhttp/leafhttp.h
+++ b/src/leafhttp/leafhttp.h
@@ -36,6 +36,9 @@
   /// Sets outcome, signature, response and error of a result from a complete response to the call's request.
   virtual void ClassifyResponse(const LeafCall& aCall, HttpResponse aResponse, LeafResult& aResult) const = 0;
 
+  /// \return what the leaf says of itself in any of its responses
+  virtual LeafNotice ReadNotice(const HttpResponse& aResponse) const = 0;
+
   /// \return how long the leaf keeps an idle connection open; none if the response does not state it
   virtual std::optional<Duration> IdleTimeout(const HttpResponse& aResponse) const = 0;
 };
@@ -64,6 +67,7 @@
   std::atomic<std::uint64_t> foreignResponses{ 0 };  ///< dropped responses that belong to other requests
   std::atomic<std::uint64_t> surplusByteCloses{ 0 }; ///< connections closed because of surplus bytes
   std::atomic<std::uint64_t> oversizedCloses{ 0 };   ///< connections closed because a response is too long
+  std::atomic<std::uint64_t> leavingLeafs{ 0 };      ///< leafs that announced in a response that they leave
   std::atomic<std::uint64_t> incompleteBytes{ 0 };   ///< bytes held for incomplete responses now
 };
 
