Keep the pause that a leaf asks for

Nothing read the field of a leaf's answer.

During the pause the leaf gets nothing from this node, neither first calls, parts, repeats, hedges nor probes, and calls that wait for a connection are ended unwritten and replaced. A pause is never shortened, as all later answers of the pause belong to calls that were sent before. It is no failure: neither the leaf's condition nor its limit nor the route's limit changes. If all leafs of a service pause, or of too many shards, requests are refused at once (reason leafs_paused) with the time until the first returns, spread upwards. In the first 0.5 s after a pause the calls to the leaf grow from one to its slots. Splits keep their weights.

--- a/src/gateway/ileafexchange.h
+++ b/src/gateway/ileafexchange.h
@@ -37,7 +37,7 @@
   kNotRun,      ///< the leaf reported that it did not run the request
   kMisdirected, ///< another leaf uses the address now; the request was not run
   kNotSent,     ///< no part of the request was written
-  kHeldBack,    ///< not written because the leaf accepts no requests any more
+  kHeldBack,    ///< not written because the leaf accepts no requests any more, or pauses
   kLost         ///< written without a complete answer; the request may have run
 };
 
@@ -51,6 +51,7 @@
   LeafOutcome outcome = LeafOutcome::kNotSent;
   HttpResponse response; ///< kAnswered, kFailed; connection fields removed
   std::string signature; ///< signature of the leaf's answer; empty when there is none
+  LeafNotice notice;     ///< what the leaf said of itself; already applied to the leaf
   Duration elapsed{ 0 }; ///< time from writing the request to the end of the answer
   Error error;           ///< kNotSent, kLost
 };
--- a/src/gateway/internal/callsender.cpp
+++ b/src/gateway/internal/callsender.cpp
@@ -150,6 +150,10 @@
 {
   const TimePoint now = this->clock.Now();
   LeafCondition& condition = aCall.leaf->condition;
+  if (aResult.notice.pause) {
+    condition.OnTurnedAway(now);
+    return;
+  }
   switch (aResult.outcome) {
     case LeafOutcome::kAnswered:
       aCall.times->Add(aResult.elapsed);
--- a/src/gateway/internal/leafchoice.cpp
+++ b/src/gateway/internal/leafchoice.cpp
@@ -59,7 +59,7 @@
   LeafHandle* best = nullptr;
   Duration bestCost = Duration::max();
   for (const Ref<LeafHandle>& leaf : aLeafs) {
-    if (!leaf->AcceptsRequests() || Used(aRequirements, leaf.get())) {
+    if (!leaf->AcceptsRequests() || leaf->TurnsAway(aNow) || Used(aRequirements, leaf.get())) {
       continue;
     }
     if (aRequirements.withinLimit && !leaf->limit.Admits(leaf->condition.InFlight(), aNow)) {
@@ -82,7 +82,7 @@
 HasUsableLeaf(const std::vector<Ref<LeafHandle>>& aLeafs, TimePoint aNow)
 {
   return std::any_of(aLeafs.begin(), aLeafs.end(), [aNow](const Ref<LeafHandle>& aLeaf) {
-    return aLeaf->AcceptsRequests() && !aLeaf->condition.Excluded(aNow);
+    return aLeaf->AcceptsRequests() && !aLeaf->TurnsAway(aNow) && !aLeaf->condition.Excluded(aNow);
   });
 }
 
@@ -90,9 +90,21 @@
 HasCapacity(const std::vector<Ref<LeafHandle>>& aLeafs, TimePoint aNow)
 {
   return std::any_of(aLeafs.begin(), aLeafs.end(), [aNow](const Ref<LeafHandle>& aLeaf) {
-    return aLeaf->AcceptsRequests() && !aLeaf->condition.Excluded(aNow) &&
+    return aLeaf->AcceptsRequests() && !aLeaf->TurnsAway(aNow) && !aLeaf->condition.Excluded(aNow) &&
            aLeaf->limit.Admits(aLeaf->condition.InFlight(), aNow);
   });
 }
 
+std::optional<TimePoint>
+EarliestReturn(const std::vector<Ref<LeafHandle>>& aLeafs, TimePoint aNow)
+{
+  std::optional<TimePoint> earliest;
+  for (const Ref<LeafHandle>& leaf : aLeafs) {
+    if (leaf->AcceptsRequests() && leaf->TurnsAway(aNow)) {
+      earliest = std::min(earliest.value_or(TimePoint::max()), leaf->ReturnsAt(aNow));
+    }
+  }
+  return earliest;
+}
+
 } // namespace yp
--- a/src/gateway/internal/leafchoice.h
+++ b/src/gateway/internal/leafchoice.h
@@ -2,6 +2,7 @@
 #define YP_GATEWAY_INTERNAL_LEAFCHOICE_H
 
 #include "gateway/igateway.h"
+#include <optional>
 #include <vector>
 
 namespace yp {
@@ -34,6 +35,10 @@
 bool
 HasCapacity(const std::vector<Ref<LeafHandle>>& aLeafs, TimePoint aNow);
 
+/// \return when the first of the leafs that turn requests away takes them again; none when no leaf does
+std::optional<TimePoint>
+EarliestReturn(const std::vector<Ref<LeafHandle>>& aLeafs, TimePoint aNow);
+
 } // namespace yp
 
 #endif
--- a/src/gateway/internal/leafcondition.cpp
+++ b/src/gateway/internal/leafcondition.cpp
@@ -78,6 +78,13 @@
   this->probing = false;
 }
 
+void
+LeafCondition::OnTurnedAway(TimePoint aNow)
+{
+  this->lastAnswer = aNow;
+  this->probing = false;
+}
+
 void
 LeafCondition::OnUnreachable(TimePoint aSentAt, TimePoint aNow)
 {
--- a/src/gateway/internal/leafdirectory.cpp
+++ b/src/gateway/internal/leafdirectory.cpp
@@ -5,6 +5,10 @@
 
 namespace {
 
+// Time after a pause in which the calls to the leaf grow to the number of its slots.
+constexpr Duration kReturnTime = std::chrono::milliseconds(500);
+constexpr int kReturnSteps = 10;
+
 void
 Erase(std::vector<Ref<LeafHandle>>& aLeafs, const Ref<LeafHandle>& aLeaf)
 {
@@ -22,20 +26,55 @@
          this->startTimeMs == aOther.startTimeMs;
 }
 
+LeafNoticeEffect
+LeafHandle::Apply(const LeafNotice& aNotice, const std::string& aRequest, TimePoint aNow)
+{
+  LeafNoticeEffect effect;
+  if (aNotice.leaving && !this->leaving) {
+    effect.leavingBegan = true;
+    this->leaving = true;
+    LogEvent(LogLevel::kInfo,
+             "leaf_leaving",
+             { { "leaf", this->registration.id },
+               { "service", this->registration.service },
+               { "answer_to", aRequest },
+               { "in_flight", this->condition.InFlight() } });
+  }
+  if (aNotice.pause && *aNotice.pause > Duration::zero()) {
+    effect.pauseBegan = !this->Paused(aNow);
+    const TimePoint end = aNow + *aNotice.pause;
+    this->pausedUntil = effect.pauseBegan ? end : std::max(*this->pausedUntil, end);
+  }
+  if (effect.pauseBegan) {
+    LogEvent(
+      LogLevel::kInfo,
+      "leaf_paused",
+      { { "leaf", this->registration.id },
+        { "service", this->registration.service },
+        { "answer_to", aRequest },
+        { "pause_ms", std::chrono::duration_cast<std::chrono::milliseconds>(*aNotice.pause).count() } });
+  }
+  return effect;
+}
+
 bool
-LeafHandle::Apply(const LeafNotice& aNotice, const std::string& aRequest)
+LeafHandle::TurnsAway(TimePoint aNow) const
 {
-  if (!aNotice.leaving || this->leaving) {
+  if (!this->pausedUntil || aNow >= *this->pausedUntil + kReturnTime) {
     return false;
   }
-  this->leaving = true;
-  LogEvent(LogLevel::kInfo,
-           "leaf_leaving",
-           { { "leaf", this->registration.id },
-             { "service", this->registration.service },
-             { "answer_to", aRequest },
-             { "in_flight", this->condition.InFlight() } });
-  return true;
+  if (aNow < *this->pausedUntil) {
+    return true;
+  }
+  const Duration elapsed = aNow - *this->pausedUntil;
+  const auto allowed = static_cast<std::size_t>(this->registration.slots * elapsed / kReturnTime);
+  return this->condition.InFlight() >= std::max<std::size_t>(1, allowed);
+}
+
+TimePoint
+LeafHandle::ReturnsAt(TimePoint aNow) const
+{
+  return this->Paused(aNow) ? *this->pausedUntil : aNow + kReturnTime / kReturnSteps;
 }
 
 bool
--- a/src/gateway/internal/plainrunner.cpp
+++ b/src/gateway/internal/plainrunner.cpp
@@ -39,8 +39,11 @@
 {
   const std::vector<Ref<LeafHandle>>& leafs = this->context.leafs.Leafs(aService);
   this->context.budget.OnRequest(aService);
-  if (!HasUsableLeaf(leafs, this->context.clock.Now())) {
-    return Refusal(ReasonForNoLeaf(leafs), kNoLeafRetry, this->context.random);
+  const TimePoint now = this->context.clock.Now();
+  if (!HasUsableLeaf(leafs, now)) {
+    const std::optional<TimePoint> returns = EarliestReturn(leafs, now);
+    return returns ? PauseRefusal(*returns, now, this->context.random)
+                   : Refusal(ReasonForNoLeaf(leafs), kNoLeafRetry, this->context.random);
   }
   auto owned = std::make_unique<Run>();
   owned->request = std::move(aRequest);
@@ -131,10 +134,7 @@
     return;
   }
   if (aRun.attempts.mayHaveRun == 0) {
-    const bool stopping = !this->context.CanAnswer(*aRun.request.times, this->context.clock.Now());
-    this->Finish(aRun,
-                 stopping ? Refusal("stopping", kStoppingRetry, this->context.random)
-                          : Refusal("leafs_full", kLeafsFullRetry, this->context.random));
+    this->Finish(aRun, this->RefusalForUnsent(aRun));
     return;
   }
   GatewayReply reply;
@@ -143,6 +143,21 @@
   this->Finish(aRun, std::move(reply));
 }
 
+GatewayReply
+PlainRunner::RefusalForUnsent(const Run& aRun) const
+{
+  const TimePoint now = this->context.clock.Now();
+  if (!this->context.CanAnswer(*aRun.request.times, now)) {
+    return Refusal("stopping", kStoppingRetry, this->context.random);
+  }
+  const std::vector<Ref<LeafHandle>>& leafs = this->context.leafs.Leafs(aRun.service);
+  const std::optional<TimePoint> returns = EarliestReturn(leafs, now);
+  if (returns && !HasUsableLeaf(leafs, now)) {
+    return PauseRefusal(*returns, now, this->context.random);
+  }
+  return Refusal("leafs_full", kLeafsFullRetry, this->context.random);
+}
+
 Duration
 PlainRunner::HedgeDelay(const Run& aRun) const
 {
--- a/src/gateway/internal/plainrunner.h
+++ b/src/gateway/internal/plainrunner.h
@@ -41,6 +41,9 @@
   void OnUnanswered(Run& aRun, LeafResult aResult);
   bool MayRepeat(const Run& aRun, LeafOutcome aOutcome) const;
   void FinishUnanswered(Run& aRun);
+
+  /// \return the refusal of a request that no leaf has run
+  GatewayReply RefusalForUnsent(const Run& aRun) const;
   void ArmTimer(Run& aRun);
   void OnTimer(std::uint64_t aHandle);
   /// Answers a request whose time is over: with a refusal if no leaf has got it.
--- a/src/gateway/internal/runnercontext.h
+++ b/src/gateway/internal/runnercontext.h
@@ -48,6 +48,8 @@
 // A stopping node is given out no more, so a retry reaches another one, which can serve it at once.
 constexpr Duration kStoppingRetry = std::chrono::milliseconds(20);
 
+constexpr double kPauseSpread = 0.25;
+
 /// A request in progress.
 struct RunnerRequest
 {
@@ -133,6 +135,19 @@
   return reply;
 }
 
+/// \return a refusal until a leaf that asked for a pause returns; its retry delay is spread upwards, so that
+/// callers neither retry during the pause nor all at its end
+inline GatewayReply
+PauseRefusal(TimePoint aReturn, TimePoint aNow, IRandom& aRandom)
+{
+  GatewayReply reply;
+  reply.outcome = GatewayOutcome::kRefused;
+  reply.reason = "leafs_paused";
+  reply.retryAfter =
+    std::chrono::duration_cast<Duration>((aReturn - aNow) * (1 + kPauseSpread * aRandom.Real()));
+  return reply;
+}
+
 } // namespace yp
 
 #endif
--- a/src/gateway/internal/scatterrunner.cpp
+++ b/src/gateway/internal/scatterrunner.cpp
@@ -57,6 +57,13 @@
   };
   const std::size_t withCapacity = count(HasCapacity);
   if (withCapacity < aRequiredParts) {
+    const std::optional<TimePoint> returns =
+      this->CoverageReturns(aRoute, aRequiredParts - withCapacity, aNow);
+    if (returns) {
+      GatewayReply refusal = PauseRefusal(*returns, aNow, this->context.random);
+      refusal.missing = aRoute.shards.size() - withCapacity;
+      return refusal;
+    }
     const char* reason = count(HasUsableLeaf) < aRequiredParts ? "shards_unreachable" : "shards_busy";
     GatewayReply refusal = Refusal(reason, kShardsRetry, this->context.random);
     refusal.missing = aRoute.shards.size() - withCapacity;
@@ -69,6 +76,24 @@
   return std::nullopt;
 }
 
+std::optional<TimePoint>
+ScatterRunner::CoverageReturns(const RouteSpec& aRoute, std::size_t aMissing, TimePoint aNow) const
+{
+  std::vector<TimePoint> returns;
+  for (const std::string& shard : aRoute.shards) {
+    const std::vector<Ref<LeafHandle>>& leafs = this->context.leafs.Leafs(shard);
+    const std::optional<TimePoint> earliest = EarliestReturn(leafs, aNow);
+    if (earliest && !HasCapacity(leafs, aNow)) {
+      returns.push_back(*earliest);
+    }
+  }
+  if (returns.size() < aMissing) {
+    return std::nullopt;
+  }
+  std::sort(returns.begin(), returns.end());
+  return returns[aMissing - 1];
+}
+
 std::optional<GatewayReply>
 ScatterRunner::Start(RunnerRequest aRequest)
 {
@@ -176,7 +201,7 @@
   }
   part.failed = true;
   ++aRun.failedCount;
-  aRun.lostCount += aResult.outcome == LeafOutcome::kLost ? 1 : 0;
+  aRun.unloadedCount += aResult.outcome == LeafOutcome::kLost || aResult.notice.pause ? 1 : 0;
 }
 
 TimePoint
@@ -310,8 +335,9 @@
   // load.
   const Duration elapsed = now - aRun.request.received;
   const bool inTime = elapsed <= route.objective;
-  // Lost answers alone are no sign of load: the leafs may have free slots.
-  const std::size_t failedForOtherReasons = aRun.failedCount - aRun.lostCount;
+  // Lost answers and pauses alone are no sign of load: the leafs may have free slots, and a pause ends by
+  // itself.
+  const std::size_t failedForOtherReasons = aRun.failedCount - aRun.unloadedCount;
   const bool coveredButForLosses = aRun.parts.size() - failedForOtherReasons >= aRun.requiredParts;
   if (aCovered && inTime) {
     load.limit.OnInTime(elapsed);
--- a/src/gateway/internal/scatterrunner.h
+++ b/src/gateway/internal/scatterrunner.h
@@ -49,7 +49,7 @@
     std::set<std::string> signatures;
     std::size_t mergedCount = 0;
     std::size_t failedCount = 0;
-    std::size_t lostCount = 0;     ///< failed parts whose last answer was lost
+    std::size_t unloadedCount = 0; ///< of these, parts whose answer was lost or whose leaf asked for a pause
     std::size_t requiredParts = 1; ///< parts needed for the minimum coverage
     TimerId timer = 0;
   };
@@ -84,6 +84,12 @@
   /// \return a refusal when too few shards have capacity or the route's limit is reached
   std::optional<GatewayReply> RefusalFor(const RouteSpec& aRoute, std::size_t aRequiredParts, TimePoint aNow);
 
+  /// \param aMissing number of shards without capacity that are needed for the minimum coverage, at least 1
+  /// \return when so many shards have a leaf that returns from a pause; none if too few pause
+  std::optional<TimePoint> CoverageReturns(const RouteSpec& aRoute,
+                                           std::size_t aMissing,
+                                           TimePoint aNow) const;
+
   /// Updates the query limit of a route with the outcome of a query.
   void UpdateRouteLimit(const Run& aRun, bool aCovered);
 
--- a/src/gateway/leafdirectory.h
+++ b/src/gateway/leafdirectory.h
@@ -5,6 +5,7 @@
 #include "gateway/concurrencylimit.h"
 #include <boost/intrusive/list.hpp>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -57,6 +58,9 @@
   /// slots, so this counts less towards an exclusion than an unreachable leaf.
   void OnAnswerLost(TimePoint aSentAt, TimePoint aNow);
 
+  /// Records that the leaf asked for a pause, which is no failure.
+  void OnTurnedAway(TimePoint aNow);
+
   /// Records that this node cancelled a call, which is no evidence about the leaf.
   void OnCancelled() { this->probing = false; }
 
@@ -103,6 +107,16 @@
 struct LeafNotice
 {
   bool leaving = false; ///< the leaf leaves and gets no new requests
+  /// The leaf turned the request away and gets no others for this time.
+  std::optional<Duration> pause;
+  bool malformedPause = false; ///< the leaf gave a time that cannot be read
+};
+
+/// What changed at a leaf by a notice.
+struct LeafNoticeEffect
+{
+  bool leavingBegan = false;
+  bool pauseBegan = false;
 };
 
 /// One leaf with its registration, observed condition and call limit.
@@ -116,10 +130,23 @@
   bool superseded = false; ///< a later registration holds its address; ends when that one is removed
   bool leaving = false;    ///< announced in an answer that it leaves; holds for this incarnation
 
-  /// Applies what the leaf said in an answer. Nothing takes a notice of leaving back.
-  /// \param aRequest id of the request that was answered, for the log
-  /// \return whether the leaf began to leave
-  bool Apply(const LeafNotice& aNotice, const std::string& aRequest);
+  std::optional<TimePoint> pausedUntil; ///< end of the last pause that the leaf asked for
+
+  /// Applies what the leaf said in an answer. Nothing takes a notice of leaving back. A pause is never
+  /// shortened: during it the leaf gets no requests, so any further answer may have been sent before the one
+  /// that began it. \param aRequest id of the request that was answered, for the log
+  LeafNoticeEffect Apply(const LeafNotice& aNotice, const std::string& aRequest, TimePoint aNow);
+
+  /// \return whether the leaf gets no requests because it asked for a pause
+  bool Paused(TimePoint aNow) const { return this->pausedUntil && aNow < *this->pausedUntil; }
+
+  /// \return whether the leaf gets no further request now: it pauses, or has enough calls for the time since
+  /// its
+  ///   pause; after a pause the number of calls grows gradually to its slots
+  bool TurnsAway(TimePoint aNow) const;
+
+  /// \return when a leaf that turns requests away is expected to take one
+  TimePoint ReturnsAt(TimePoint aNow) const;
 
   /// \return whether the leaf may get new requests
   bool AcceptsRequests() const
--- a/src/gateway/tests/fakeexchange.h
+++ b/src/gateway/tests/fakeexchange.h
@@ -72,10 +72,11 @@
     this->pendingCalls[id] =
       this->timers.At(this->clock.Now() + answer.delay, [this, id, leaf, handle, answer, aHandler] {
         this->pendingCalls.erase(id);
-        handle->Apply(answer.notice, std::to_string(id));
+        handle->Apply(answer.notice, std::to_string(id), this->clock.Now());
         LeafResult result;
         result.outcome = answer.outcome;
         result.elapsed = answer.delay;
+        result.notice = answer.notice;
         result.response.status = answer.status;
         result.response.body = answer.body;
         result.signature = answer.signature.empty() ? leaf + "." + std::to_string(id) : answer.signature;
--- a/src/gateway/tests/gateway_tests.cpp
+++ b/src/gateway/tests/gateway_tests.cpp
@@ -294,8 +294,8 @@
   const Ref<LeafHandle> leaf = fixture.leafs.Leafs("plain")[0];
   LeafNotice notice;
   notice.leaving = true;
-  leaf->Apply(notice, "request");
-  leaf->Apply({}, "request");
+  leaf->Apply(notice, "request", fixture.clock.Now());
+  leaf->Apply({}, "request", fixture.clock.Now());
   REQUIRE_FALSE(leaf->AcceptsRequests());
   LeafRegistration again = leaf->registration;
   again.slots = 3;
@@ -308,6 +308,127 @@
                         [](const Ref<LeafHandle>& aLeaf) { return aLeaf->AcceptsRequests(); }) == 2);
 }
 
+// Guards against requests to a leaf that wants none for a time, and against taking its pause for a failure.
+TEST_CASE("A leaf that asks for a pause gets no requests until its end", "[pause]")
+{
+  const std::string path = GENERATE("/one/x", "/once/x", "/all/x");
+  GatewayFixture fixture;
+  std::string paused;
+  bool pausing = true;
+  std::size_t turnedAway = 0;
+  fixture.exchange.script = [&](const std::string& aLeaf) {
+    FakeAnswer answer;
+    if (pausing && (aLeaf == "plain-a" || aLeaf == "shard0-a")) {
+      paused = aLeaf;
+      ++turnedAway;
+      answer.outcome = LeafOutcome::kNotRun;
+      answer.notice.pause = seconds(2);
+    }
+    return answer;
+  };
+  const auto run = [&](int aCount) {
+    for (int i = 0; i < aCount; ++i) {
+      fixture.SendRequest(path);
+      fixture.timers.RunFor(milliseconds(50));
+    }
+  };
+  while (turnedAway == 0) {
+    run(1);
+  }
+  run(30);
+  REQUIRE(turnedAway == 1);
+  for (const GatewayReply& reply : fixture.replies) {
+    REQUIRE((reply.outcome == GatewayOutcome::kPassed || reply.outcome == GatewayOutcome::kMerged));
+    REQUIRE(reply.missing == 0);
+  }
+  const std::string service = path == "/all/x" ? "shard0" : "plain";
+  const Ref<LeafHandle> leaf = fixture.leafs.Leafs(service)[0];
+  REQUIRE(leaf->registration.id == paused);
+  REQUIRE(leaf->condition.FailureRate(fixture.clock.Now()) == 0);
+  REQUIRE_FALSE(leaf->condition.Excluded(fixture.clock.Now()));
+  REQUIRE_FALSE(leaf->limit.Bounded());
+  pausing = false;
+  const std::size_t before = fixture.exchange.CountSent(paused);
+  run(60);
+  REQUIRE(fixture.exchange.CountSent(paused) > before + 10);
+}
+
+// Guards against requests that are held until their deadline, or refused with a time at which nobody serves
+// them.
+TEST_CASE("Requests are refused until the first leaf returns while all leafs of a service pause",
+          "[pause][refusal]")
+{
+  const std::string path = GENERATE("/one/x", "/once/x", "/all/x");
+  GatewayFixture fixture;
+  const auto pause = [&](const std::string& aService, std::size_t aLeaf, milliseconds aTime) {
+    LeafNotice notice;
+    notice.pause = aTime;
+    fixture.leafs.Leafs(aService)[aLeaf]->Apply(notice, "request", fixture.clock.Now());
+  };
+  for (std::size_t shard = 0; shard < GatewayFixture::kShards; ++shard) {
+    pause(GatewayFixture::Shard(shard), 0, milliseconds(4000));
+    pause(GatewayFixture::Shard(shard), 1, milliseconds(2000));
+  }
+  pause("plain", 0, milliseconds(4000));
+  pause("plain", 1, milliseconds(2000));
+  fixture.timers.RunFor(milliseconds(500));
+  fixture.SendRequest(path);
+  REQUIRE(fixture.exchange.sent.empty());
+  REQUIRE(fixture.replies.at(0).outcome == GatewayOutcome::kRefused);
+  REQUIRE(fixture.replies[0].reason == std::string("leafs_paused"));
+  REQUIRE(fixture.replies[0].retryAfter >= milliseconds(1500));
+  REQUIRE(fixture.replies[0].retryAfter <= milliseconds(1875));
+}
+
+TEST_CASE("A pause is not shortened, and a new incarnation begins without one", "[pause]")
+{
+  GatewayFixture fixture;
+  const Ref<LeafHandle> leaf = fixture.leafs.Leafs("plain")[0];
+  LeafNotice notice;
+  notice.pause = seconds(5);
+  REQUIRE(leaf->Apply(notice, "request", fixture.clock.Now()).pauseBegan);
+  notice.pause = milliseconds(100);
+  REQUIRE_FALSE(leaf->Apply(notice, "request", fixture.clock.Now()).pauseBegan);
+  leaf->Apply({}, "request", fixture.clock.Now());
+  fixture.timers.RunFor(seconds(4));
+  REQUIRE(leaf->Paused(fixture.clock.Now()));
+  notice.pause = std::chrono::hours(24);
+  leaf->Apply(notice, "request", fixture.clock.Now());
+  fixture.timers.RunFor(seconds(4));
+  REQUIRE(leaf->Paused(fixture.clock.Now()));
+  LeafRegistration restarted = leaf->registration;
+  restarted.startTimeMs = 9;
+  fixture.leafs.Apply(restarted);
+  for (const Ref<LeafHandle>& other : fixture.leafs.Leafs("plain")) {
+    REQUIRE_FALSE(other->TurnsAway(fixture.clock.Now()));
+  }
+}
+
+// Guards against a pause of one part of a split that moves its share to the other.
+TEST_CASE("A split keeps its weights while a part pauses", "[pause][split]")
+{
+  GatewayFixture fixture;
+  const Ref<RoutingState> state = GatewayFixture::MakeRouting(2);
+  RouteSpec split = state->routes[1];
+  split.name = "split";
+  split.pathPrefix = "/split/";
+  split.service.clear();
+  split.split = { { "plain", 3 }, { "other", 1 } };
+  state->routes.push_back(split);
+  state->Index();
+  fixture.gateway->SetRouting(state);
+  fixture.AddLeaf("other-a", "other", "a");
+  LeafNotice notice;
+  notice.pause = seconds(60);
+  fixture.leafs.Leafs("other")[0]->Apply(notice, "request", fixture.clock.Now());
+  for (int i = 0; i < 400; ++i) {
+    fixture.SendRequest("/split/x");
+    fixture.timers.RunFor(milliseconds(20));
+  }
+  REQUIRE(fixture.exchange.sent.size() == 300);
+  REQUIRE(fixture.exchange.CountSent("other-a") == 0);
+}
+
 TEST_CASE("Draining and withdrawn leafs get no new requests", "[drain]")
 {
   GatewayFixture fixture;
--- a/src/gateway/tests/overload_tests.cpp
+++ b/src/gateway/tests/overload_tests.cpp
@@ -263,4 +263,56 @@
   REQUIRE(limit.Admits(2, now + seconds(10)));
 }
 
+// Guards against requests to pausing leafs, and against a burst of all that waited when a pause ends.
+TEST_CASE("Leafs that pause again and again under twice their load are left alone and return gradually",
+          "[overload][pause]")
+{
+  const bool all = GENERATE(false, true);
+  LoadedFleet fleet;
+  fleet.backend.serviceTime = [](const std::string&) { return Duration(milliseconds(12)); };
+  const double capacity = LoadedFleet::Capacity(milliseconds(12));
+  // What a leaf runs in the first 100 ms and holds in its queue.
+  constexpr std::size_t kTaken = LoadedFleet::kSlots * 100 / 12 + QueueingLeafs::kQueueLimit;
+  TimePoint pauseStart;
+  TimePoint pauseEnd;
+  std::size_t late = 0;
+  std::map<std::string, std::size_t> returning; // by leaf: requests in the first 100 ms after a pause
+  fleet.backend.wantsPause = [&](const std::string& aLeaf) -> std::optional<Duration> {
+    const TimePoint now = fleet.clock.Now();
+    returning[aLeaf] += now >= pauseEnd && now < pauseEnd + milliseconds(100) ? 1 : 0;
+    if (now < pauseStart || now >= pauseEnd || (!all && aLeaf.back() != 'a')) {
+      return std::nullopt;
+    }
+    late += now > pauseStart + milliseconds(500) ? 1 : 0;
+    return pauseEnd - now;
+  };
+  fleet.StartLoad("/all/x", capacity * 2 * (all ? 1.0 : 0.5), seconds(25));
+  fleet.RunFor(seconds(2));
+  for (const milliseconds length :
+       { milliseconds(300), milliseconds(1000), milliseconds(2500), milliseconds(5000) }) {
+    pauseStart = fleet.clock.Now();
+    pauseEnd = pauseStart + length;
+    late = 0;
+    fleet.RunFor(length - milliseconds(10));
+    // A node that had no call to a leaf before learns of its pause by its first call.
+    const std::size_t leafs = GatewayFixture::kShards * (all ? 2 : 1);
+    REQUIRE(late <= leafs * LoadedFleet::kNodes);
+    returning.clear();
+    const std::size_t servedBefore = fleet.outcomes["/all/x"].inTime + fleet.outcomes["/all/x"].late;
+    fleet.RunFor(milliseconds(510));
+    const std::size_t served = fleet.outcomes["/all/x"].inTime + fleet.outcomes["/all/x"].late - servedBefore;
+    std::size_t most = 0;
+    for (const auto& [leaf, requests] : returning) {
+      most = std::max(most, all || leaf.back() == 'a' ? requests : 0);
+    }
+    CAPTURE(all, length.count(), served, most);
+    REQUIRE(served > 0);
+    REQUIRE(most <= kTaken);
+    fleet.RunFor(milliseconds(1000));
+  }
+  const Outcomes& outcomes = fleet.outcomes["/all/x"];
+  CAPTURE(outcomes.total, outcomes.inTime, outcomes.late, outcomes.refused, outcomes.failed);
+  REQUIRE(outcomes.failed <= outcomes.total / 20);
+}
+
 } // namespace yp
--- a/src/gateway/tests/queueingexchange.h
+++ b/src/gateway/tests/queueingexchange.h
@@ -17,6 +17,8 @@
 public:
   using Handler = ILeafExchange::Handler;
 
+  static constexpr std::size_t kQueueLimit = 12;
+
   QueueingLeafs(ManualClock& aClock, FakeTimers& aTimers, IRandom& aRandom)
     : clock(aClock)
     , timers(aTimers)
@@ -39,19 +41,17 @@
     const ReceivedCall received{ aCall, this->clock.Now(), std::move(aHandler) };
     this->leafByCall[aCall] = &leaf;
     ++this->arrivals;
-    if (leaf.running.size() < leaf.slots) {
+    const std::optional<Duration> wanted = this->wantsPause ? this->wantsPause(leaf.id) : std::nullopt;
+    if (wanted) {
+      ++this->turnedAway[leaf.id];
+      this->Refuse(received, wanted);
+    } else if (leaf.running.size() < leaf.slots) {
       this->Run(leaf, received);
     } else if (leaf.queue.size() < kQueueLimit) {
       leaf.queue.push_back(received);
     } else {
       ++this->refusals;
-      this->timers.At(this->clock.Now() + kRefusalDelay, [this, received] {
-        if (this->leafByCall.erase(received.call) > 0) {
-          LeafResult result;
-          result.outcome = LeafOutcome::kNotRun;
-          received.handler(std::move(result));
-        }
-      });
+      this->Refuse(received, std::nullopt);
     }
   }
 
@@ -84,11 +84,13 @@
   /// Time for which each leaf stops working once per pausePeriod. The phase is random for each leaf.
   Duration pause{ 0 };
   Duration pausePeriod = std::chrono::seconds(3);
+  /// \return for how long a leaf wants no more requests; such a request is turned away
+  std::function<std::optional<Duration>(const std::string& aLeaf)> wantsPause;
+  std::map<std::string, std::size_t> turnedAway; ///< by leaf: requests turned away with a pause
   std::uint64_t arrivals = 0;
   std::uint64_t refusals = 0;
 
 private:
-  static constexpr std::size_t kQueueLimit = 12;
   static constexpr double kMinTimeFactor = 0.4; ///< shortest time of a call, as a fraction of the leaf's mean
   static constexpr double kMaxSlowness = 1.3;   ///< slowness of a leaf lies between 2 - kMaxSlowness and this
   static constexpr Duration kRefusalDelay = std::chrono::milliseconds(1);
@@ -110,6 +112,18 @@
     std::deque<ReceivedCall> queue;
   };
 
+  void Refuse(const ReceivedCall& aReceived, std::optional<Duration> aPause)
+  {
+    this->timers.At(this->clock.Now() + kRefusalDelay, [this, aReceived, aPause] {
+      if (this->leafByCall.erase(aReceived.call) > 0) {
+        LeafResult result;
+        result.outcome = LeafOutcome::kNotRun;
+        result.notice.pause = aPause;
+        aReceived.handler(std::move(result));
+      }
+    });
+  }
+
   void Run(Leaf& aLeaf, const ReceivedCall& aReceived)
   {
     const double factor = aLeaf.slowness * (kMinTimeFactor + this->random.Real() * 2 * (1 - kMinTimeFactor));
@@ -177,9 +191,12 @@
   {
     const std::uint64_t call = this->firstCall + aCall.id;
     this->timers.At(this->clock.Now() + kOneWayLatency, [this, call, leaf = aCall.leaf, aHandler] {
-      this->leafs.Send(call, leaf->registration, [this, aHandler](LeafResult aResult) {
+      this->leafs.Send(call, leaf->registration, [this, leaf, aHandler](LeafResult aResult) {
         this->timers.At(this->clock.Now() + kOneWayLatency,
-                        [aHandler, aResult = std::move(aResult)] { aHandler(aResult); });
+                        [this, leaf, aHandler, aResult = std::move(aResult)] {
+                          leaf->Apply(aResult.notice, "", this->clock.Now());
+                          aHandler(aResult);
+                        });
       });
     });
   }
--- a/src/leafhttp/internal/leafconnection.cpp
+++ b/src/leafhttp/internal/leafconnection.cpp
@@ -290,9 +290,8 @@
   }
   response.body = std::move(message.body());
   // Before the connection is idle, as it may then get the next call.
-  const LeafCall& answered = this->current->call;
-  this->core.stats.leavingLeafs +=
-    answered.leaf->Apply(this->core.dialect.ReadNotice(response), answered.request->id) ? 1 : 0;
+  const LeafNotice notice = this->core.dialect.ReadNotice(response);
+  this->ApplyNotice(notice);
   const bool selfDelimited = message.has_content_length() || message.chunked();
   const ResponseMatch match = this->core.dialect.MatchRequest(this->current->call, response);
   // A leaf that names requests in its responses names them in all, so a response without an id is not an
@@ -328,6 +327,7 @@
   PendingCall call = std::move(*this->current);
   this->current.reset();
   LeafResult result;
+  result.notice = notice;
   result.elapsed = this->core.clock.Now() - this->writtenAt;
   this->core.dialect.ClassifyResponse(call.call, std::move(response), result);
   if (keep) {
@@ -341,6 +341,16 @@
   return this->stage != Stage::kClosed;
 }
 
+void
+LeafConnection::ApplyNotice(const LeafNotice& aNotice)
+{
+  const LeafCall& call = this->current->call;
+  const LeafNoticeEffect effect = call.leaf->Apply(aNotice, call.request->id, this->core.clock.Now());
+  this->core.stats.leavingLeafs += effect.leavingBegan ? 1 : 0;
+  this->core.stats.pauses += effect.pauseBegan ? 1 : 0;
+  this->core.stats.malformedPauses += aNotice.malformedPause ? 1 : 0;
+}
+
 void
 LeafConnection::FinishLost(const char* aStep, const std::string& aDetail)
 {
--- a/src/leafhttp/internal/leafconnection.h
+++ b/src/leafhttp/internal/leafconnection.h
@@ -105,6 +105,8 @@
   /// \return false when too many were skipped; the call is lost then
   bool SkipResponse();
   bool OnResponse();
+  /// Applies a notice in a response to the current call's leaf.
+  void ApplyNotice(const LeafNotice& aNotice);
   void FinishLost(const char* aStep, const std::string& aDetail);
   void Close();
   void CloseSocket();
--- a/src/leafhttp/internal/leafhttppool.cpp
+++ b/src/leafhttp/internal/leafhttppool.cpp
@@ -122,14 +122,15 @@
 void
 LeafHttpPool::HoldBackWaiting()
 {
-  if (this->waiting.empty() || this->leaf->AcceptsRequests()) {
+  if (this->waiting.empty() ||
+      (this->leaf->AcceptsRequests() && !this->leaf->Paused(this->core.clock.Now()))) {
     return;
   }
   this->EndWaiting(LeafOutcome::kHeldBack,
                    Error{ ErrorCode::kUnavailable,
                           "leaf.queue",
                           ToString(this->leaf->registration.endpoint),
-                          "the leaf accepts no requests any more" });
+                          "the leaf accepts no requests any more, or pauses" });
 }
 
 void
--- a/src/leafhttp/internal/leafhttppool.h
+++ b/src/leafhttp/internal/leafhttppool.h
@@ -42,7 +42,7 @@
   /// Ends the calls that wait for a connection.
   void EndWaiting(LeafOutcome aOutcome, const Error& aError);
 
-  /// Ends the calls that wait for a connection if the leaf accepts no requests any more.
+  /// Ends the calls that wait for a connection if the leaf accepts no requests any more, or pauses.
   void HoldBackWaiting();
   Ref<LeafConnection> TakeIdle(bool aFresh);
   void OpenForWaiting();
