--- a/src/gossip/tests/fakefleet.h
+++ b/src/gossip/tests/fakefleet.h
@@ -96,7 +96,7 @@
   {
     ++this->datagrams;
     this->bytes += aBytes.size();
-    if (this->disconnected.count(aFrom) != 0 || this->disconnected.count(aTo) != 0) {
+    if (!this->Connected(aFrom, aTo)) {
       return;
     }
     this->timers.At(this->clock.Now() + std::chrono::milliseconds(1), [this, aFrom, aTo, aBytes] {
@@ -107,11 +107,19 @@
     });
   }
 
+  /// \return whether datagrams from one node reach another
+  bool Connected(const Endpoint& aFrom, const Endpoint& aTo) const
+  {
+    return this->disconnected.count(aFrom) == 0 && this->disconnected.count(aTo) == 0 &&
+           this->cutOneWay.count({ aFrom, aTo }) == 0;
+  }
+
   ManualClock clock;
   FakeTimers timers{ clock };
   SeededRandom random{ 11 };
   std::vector<Endpoint> seeds;
-  std::set<Endpoint> disconnected; ///< nodes whose sent and received datagrams are dropped
+  std::set<Endpoint> disconnected;                   ///< nodes whose sent and received datagrams are dropped
+  std::set<std::pair<Endpoint, Endpoint>> cutOneWay; ///< from and to; datagrams are dropped
   std::map<Endpoint, std::unique_ptr<Node>> nodes;
   std::uint64_t datagrams = 0;
   std::uint64_t bytes = 0;
