--- a/src/changefeed/changefeed.h
+++ b/src/changefeed/changefeed.h
@@ -71,6 +71,8 @@
   virtual const ChangeLog& Log() const = 0;
   /// \return whether this node reads the source
   virtual bool Reading() const = 0;
+  /// \return time since a reader of the source last verified that this node's revision is current
+  virtual Duration ConfirmedAge() const = 0;
 };
 
 /// Dependencies of a change relay. All references must outlive it.
--- a/src/changefeed/internal/changerelay.cpp
+++ b/src/changefeed/internal/changerelay.cpp
@@ -61,6 +61,7 @@
   ChangeBatch Since(std::uint64_t aRevision) const override { return this->log.Since(aRevision); }
   const ChangeLog& Log() const override { return this->log; }
   bool Reading() const override { return this->reading; }
+  Duration ConfirmedAge() const override { return this->clock.Now() - this->confirmed; }
 
 private:
   bool Apply(const ChangeBatch& aBatch)
--- a/src/framework/network/ihttpclient.h
+++ b/src/framework/network/ihttpclient.h
@@ -8,6 +8,9 @@
 
 namespace yp {
 
+/// Step of the error for a response whose body exceeds HttpClientSettings::maxBodyBytes.
+constexpr char kHttpSizeStep[] = "http.response_size";
+
 /// Limits of a client.
 struct HttpClientSettings
 {
@@ -33,10 +36,10 @@
   /// \param aRequest request; Host, Content-Length and Connection are set here
   /// \param aDeadline time by which the reply must be complete
   /// \param aHandler gets the response of any status, or an error, never from within the call:
-  ///   kBadInput for a bad address (step "http.connect") or a malformed or too large response
-  ///   ("http.response"); kUnavailable when no connection could be made, so nothing was sent; kConnection
-  ///   when the connection failed after that; kTimeout with step "http.connect" when nothing was sent, else
-  ///   "http.response". It is not called after the client was destroyed.
+  ///   kBadInput for a bad address (step "http.connect"), a malformed response ("http.response") or a too
+  ///   large one (kHttpSizeStep); kUnavailable when no connection could be made, so nothing was sent;
+  ///   kConnection when the connection failed after that; kTimeout with step "http.connect" when nothing was
+  ///   sent, else "http.response". It is not called after the client was destroyed.
   virtual void Send(const Endpoint& aEndpoint,
                     HttpRequest aRequest,
                     TimePoint aDeadline,
--- a/src/framework/network/internal/httpclient.cpp
+++ b/src/framework/network/internal/httpclient.cpp
@@ -263,7 +263,8 @@
     const bool framing = aError.category() == make_error_code(http::error::bad_method).category() &&
                          aError != http::error::end_of_stream && aError != http::error::partial_message;
     const ErrorCode code = framing ? ErrorCode::kBadInput : ErrorCode::kConnection;
-    this->Finish(this->MakeError(code, kResponseStep, aError.message()));
+    const char* step = aError == http::error::body_limit ? kHttpSizeStep : kResponseStep;
+    this->Finish(this->MakeError(code, step, aError.message()));
   }
 
   Error MakeError(ErrorCode aCode, const char* aStep, std::string aDetail) const
