Never wait for the reader of the log

Cause: lines were written to standard output in the node's only thread with a write that waits.

Change: a line is written only if the descriptor takes it at once; up to 64 KB are held and further lines dropped. When the reader is back, one line log_lines_dropped says how many; log_lines_dropped_total counts them. A reader that has closed its end costs lines too, instead of the SIGPIPE that ended the process. There is no further thread, so a stop waits for nothing. The descriptor's mode, which others may share, is not changed.

--- a/src/framework/global/internal/log.cpp
+++ b/src/framework/global/internal/log.cpp
@@ -1,31 +1,70 @@
 #include "framework/global/log.h"
-#include <spdlog/sinks/stdout_sinks.h>
+#include "framework/global/internal/logwriter.h"
+#include <atomic>
+#include <spdlog/sinks/base_sink.h>
 #include <spdlog/spdlog.h>
+#include <unistd.h>
 
 namespace yp {
 
 namespace {
 
+std::atomic<std::uint64_t> sDroppedLines{ 0 };
+
+std::string&
+ProcessField()
+{
+  static std::string sField;
+  return sField;
+}
+
+/// Writes lines without waiting for their reader.
+class WriterSink final : public spdlog::sinks::base_sink<std::mutex>
+{
+public:
+  explicit WriterSink(int aDescriptor)
+    : writer(aDescriptor)
+  {
+  }
+
+protected:
+  void sink_it_(const spdlog::details::log_msg& aMessage) override
+  {
+    this->Write(aMessage);
+    const std::uint64_t dropped = this->writer.TakeDropped();
+    if (dropped == 0) {
+      return;
+    }
+    sDroppedLines += dropped;
+    const std::string text = "event=log_lines_dropped" + ProcessField() + " count=" + std::to_string(dropped);
+    this->Write({ aMessage.logger_name, spdlog::level::warn, text });
+  }
+
+  void flush_() override { this->writer.Flush(); }
+
+private:
+  void Write(const spdlog::details::log_msg& aMessage)
+  {
+    spdlog::memory_buf_t line;
+    this->formatter_->format(aMessage, line);
+    this->writer.Write({ line.data(), line.size() });
+  }
+
+  LogWriter writer;
+};
+
 spdlog::logger&
 Logger(LogTarget aTarget = LogTarget::kStandardError)
 {
   static const std::shared_ptr<spdlog::logger> sLogger = [aTarget] {
-    auto logger = aTarget == LogTarget::kStandardOutput ? spdlog::stdout_logger_mt("yuccaspool")
-                                                        : spdlog::stderr_logger_mt("yuccaspool");
+    const int descriptor = aTarget == LogTarget::kStandardOutput ? STDOUT_FILENO : STDERR_FILENO;
+    auto logger = std::make_shared<spdlog::logger>("yuccaspool", std::make_shared<WriterSink>(descriptor));
     logger->set_pattern("time=%Y-%m-%dT%H:%M:%S.%eZ level=%l %v", spdlog::pattern_time_type::utc);
-    logger->flush_on(spdlog::level::info);
     return logger;
   }();
   return *sLogger;
 }
 
-std::string&
-ProcessField()
-{
-  static std::string sField;
-  return sField;
-}
-
 spdlog::level::level_enum
 ToSpdlog(LogLevel aLevel)
 {
@@ -96,6 +135,12 @@
   logger.log(ToSpdlog(aLevel), spdlog::string_view_t(line.data(), line.size()));
 }
 
+std::uint64_t
+CountDroppedLogLines()
+{
+  return sDroppedLines;
+}
+
 void
 LogError(std::string_view aEvent, const Error& aError)
 {
--- a/src/framework/global/log.h
+++ b/src/framework/global/log.h
@@ -60,6 +60,10 @@
              std::string_view aLevel,
              LogTarget aTarget = LogTarget::kStandardError);
 
+/// \return lines that were dropped because the reader of the log did not keep up, up to its last return
+std::uint64_t
+CountDroppedLogLines();
+
 /// Writes one line "event=... key=value ..."; values with spaces or quotes are quoted.
 void
 LogEvent(LogLevel aLevel, std::string_view aEvent, std::initializer_list<LogField> aFields = {});
