Keep nothing for routes and services that the configuration no longer names

Change: a new configuration drops the entries of names that it lacks; the load of a route stays while its queries are in progress.

Test: "Nothing is kept for routes and services that the configuration no longer names" failed before.

--- a/src/gateway/igateway.h
+++ b/src/gateway/igateway.h
@@ -110,6 +110,9 @@
   /// \return requests in progress
   virtual std::size_t InProgress() const = 0;
 
+  /// \return entries kept for routes and services: times, loads and budgets
+  virtual std::size_t KeptEntries() const = 0;
+
   virtual const GatewayStats& Stats() const = 0;
 };
 
--- a/src/gateway/internal/extraloadshare.cpp
+++ b/src/gateway/internal/extraloadshare.cpp
@@ -45,6 +45,14 @@
   tokens = std::min(this->capacity, tokens + this->ratio);
 }
 
+void
+ExtraLoadShare::KeepServices(const std::set<std::string>& aServices)
+{
+  for (auto bucket = this->buckets.begin(); bucket != this->buckets.end();) {
+    bucket = aServices.count(bucket->first) != 0 ? std::next(bucket) : this->buckets.erase(bucket);
+  }
+}
+
 bool
 ExtraLoadShare::TrySpend(const std::string& aService)
 {
--- a/src/gateway/internal/extraloadshare.h
+++ b/src/gateway/internal/extraloadshare.h
@@ -1,6 +1,7 @@
 #ifndef YP_GATEWAY_INTERNAL_EXTRALOADSHARE_H
 #define YP_GATEWAY_INTERNAL_EXTRALOADSHARE_H
 
+#include <set>
 #include <string>
 #include <unordered_map>
 
@@ -25,6 +26,11 @@
   /// Counts a caller's request for a service.
   void OnRequest(const std::string& aService);
 
+  /// Drops the budgets of services that a new configuration does not name.
+  void KeepServices(const std::set<std::string>& aServices);
+
+  std::size_t Entries() const { return this->buckets.size(); }
+
   /// Spends one repeated request from the budget.
   /// \return whether the request may be sent
   bool TrySpend(const std::string& aService);
--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -84,7 +84,10 @@
     this->routing = std::move(aRouting);
     this->splits.Clear();
     this->exchange.SetConnectionLimits(this->routing->connectionLimits);
-    this->context.leafs.SetServices(this->routing->Services());
+    const std::set<std::string> services = this->routing->Services();
+    this->context.leafs.SetServices(services);
+    this->budget.KeepServices(services);
+    this->KeepRoutes();
     return true;
   }
 
@@ -146,6 +149,11 @@
     this->scatter.Abandon(aHandle);
   }
 
+  std::size_t KeptEntries() const override
+  {
+    return this->times.size() + this->scatter.LoadEntries() + this->budget.Entries();
+  }
+
   std::size_t InProgress() const override { return this->handlers.size(); }
 
   const GatewayStats& Stats() const override { return this->stats; }
@@ -199,6 +207,19 @@
     return handle;
   }
 
+  /// Drops what is kept for routes that the configuration no longer names.
+  void KeepRoutes()
+  {
+    std::set<std::string> names;
+    for (const RouteSpec& route : this->routing->routes) {
+      names.insert(route.name);
+    }
+    for (auto times = this->times.begin(); times != this->times.end();) {
+      times = names.count(times->first) != 0 ? std::next(times) : this->times.erase(times);
+    }
+    this->scatter.KeepRoutes(names);
+  }
+
   /// Refuses requests in time for their callers to go elsewhere, again and again until this node ends.
   void RefuseWaiting()
   {
--- a/src/gateway/internal/scatterrunner.cpp
+++ b/src/gateway/internal/scatterrunner.cpp
@@ -353,6 +353,15 @@
   }
 }
 
+void
+ScatterRunner::KeepRoutes(const std::set<std::string>& aRoutes)
+{
+  for (auto load = this->loads.begin(); load != this->loads.end();) {
+    const bool needed = aRoutes.count(load->first) != 0 || load->second.inFlight != 0;
+    load = needed ? std::next(load) : this->loads.erase(load);
+  }
+}
+
 void
 ScatterRunner::LimitToEnd()
 {
--- a/src/gateway/internal/scatterrunner.h
+++ b/src/gateway/internal/scatterrunner.h
@@ -22,6 +22,12 @@
   /// started then
   std::optional<GatewayReply> Start(RunnerRequest aRequest);
 
+  /// Drops the loads of routes that a new configuration does not name, unless queries of theirs are in
+  /// progress.
+  void KeepRoutes(const std::set<std::string>& aRoutes);
+
+  std::size_t LoadEntries() const { return this->loads.size(); }
+
   /// Applies the end of the node to the queries in progress.
   void LimitToEnd();
 
--- a/src/gateway/tests/gateway_tests.cpp
+++ b/src/gateway/tests/gateway_tests.cpp
@@ -53,6 +53,29 @@
   REQUIRE(fixture.gateway->Routing()->version == 9);
 }
 
+// Guards against configurations that replace all routes and services again and again and fill a node's
+// memory.
+TEST_CASE("Nothing is kept for routes and services that the configuration no longer names",
+          "[gateway][memory]")
+{
+  GatewayFixture fixture;
+  for (std::uint64_t version = 2; version < 200; ++version) {
+    const Ref<RoutingState> state = GatewayFixture::MakeRouting(version);
+    for (RouteSpec& route : state->routes) {
+      route.name += std::to_string(version);
+      route.service += route.service.empty() ? "" : std::to_string(version);
+    }
+    state->Index();
+    fixture.gateway->SetRouting(state);
+    for (const char* path : { "/all/x", "/one/x", "/once/x" }) {
+      fixture.SendRequest(path);
+    }
+    fixture.timers.RunFor(milliseconds(50));
+  }
+  // Three routes, the load of one, and the budgets of 20 shards and a service.
+  REQUIRE(fixture.gateway->KeptEntries() <= 3 + 1 + GatewayFixture::kShards + 1);
+}
+
 TEST_CASE("A split follows its weights exactly, whatever the node's share of the requests", "[gateway]")
 {
   GatewayFixture fixture;
