Look a waiting request up again before it is refused at a stop

Found by reading the diff: refusing one request answers its caller, which may leave and end another request of the same loop. No failure was seen.

--- a/src/gateway/internal/plainrunner.cpp
+++ b/src/gateway/internal/plainrunner.cpp
@@ -225,13 +225,14 @@
 {
   const TimePoint now = this->context.clock.Now();
   for (const std::uint64_t handle : this->runs.Handles()) {
-    Run& run = *this->runs.Find(handle);
-    if (this->context.CanAnswer(*run.request.times, now)) {
+    // An earlier answer may have made its caller leave, and with it a request further on.
+    Run* run = this->runs.Find(handle);
+    if (run == nullptr || this->context.CanAnswer(*run->request.times, now)) {
       continue;
     }
-    run.attempts.WithdrawUnwritten(this->context.sender);
-    if (run.attempts.calls.empty()) {
-      this->FinishUnanswered(run);
+    run->attempts.WithdrawUnwritten(this->context.sender);
+    if (run->attempts.calls.empty()) {
+      this->FinishUnanswered(*run);
     }
   }
 }
