--- a/src/changefeed/changelog.h
+++ b/src/changefeed/changelog.h
@@ -40,9 +40,8 @@
   /// \return the changes that were new, removals included; no changes if there were none
   ChangeBatch Apply(const ChangeBatch& aBatch);
 
-  /// \return the latest changes after a revision in the order of their revisions, or the complete state when
-  /// the
-  ///   revision is 0 or removals since then may be missing
+  /// \return the latest change of each key that changed after a revision, by revision; the complete state
+  ///   when the revision is 0 or removals after it may be missing
   ChangeBatch Since(std::uint64_t aRevision) const;
 
   std::uint64_t Revision() const { return this->revision; }
