--- a/review/8/case.cpp
+++ b/review/8/case.cpp
@@ -19,7 +19,8 @@
 constexpr char kHost[] = "users.example";
 constexpr Milliseconds kTurnedAway{ 4500 };
 constexpr Milliseconds kCalm{ 8000 }; // twice stabilityWindowMs
-constexpr Milliseconds kPowerLoss{ 5000 };
+constexpr Milliseconds kPowerLoss{ 3500 };
+constexpr Milliseconds kUntilRemoval{ 200 };
 constexpr Milliseconds kDrain{ 3000 };
 constexpr Milliseconds kStay{ 400 }; // a leaf serves a little longer than drainMs
 constexpr Milliseconds kWork{ 120 };
@@ -93,15 +94,15 @@
   if (aTrouble) {
     other.Kill();
   }
-  wait(Milliseconds(200));
+  wait(kUntilRemoval);
   store.Remove(leaves.Key());
   const Milliseconds acknowledged = aRecord.Now();
-  wait(kDrain + kStay);
-  leaves.End();
-  wait(kPowerLoss - kDrain - kStay);
+  wait(kPowerLoss - kUntilRemoval);
   if (aTrouble) {
     other.Start();
   }
+  wait(kDrain + kStay - kPowerLoss + kUntilRemoval);
+  leaves.End();
   wait(Milliseconds(1000));
   stop = true;
   for (std::thread& caller : callers) {
