--- a/review/lib-2/standins.cpp
+++ b/review/lib-2/standins.cpp
@@ -124,17 +124,6 @@
   return true;
 }
 
-std::string
-Encode(const Response& aResponse)
-{
-  std::string text = "HTTP/1.1 " + std::to_string(aResponse.status) + " Status\r\n";
-  for (const auto& [name, value] : aResponse.headers) {
-    text += name;
-    text += ": " + value + "\r\n";
-  }
-  return text + "Content-Length: " + std::to_string(aResponse.body.size()) + "\r\n\r\n" + aResponse.body;
-}
-
 std::string
 EncodeBase64(const std::string& aBytes)
 {
@@ -189,7 +178,7 @@
 Response
 JsonResponse(const std::string& aText)
 {
-  return { 200, { { "Content-Type", "application/json" } }, aText };
+  return { 200, { { "Content-Type", "application/json" } }, aText, "" };
 }
 
 } // namespace
@@ -211,6 +200,17 @@
   return aEndpoint.address + ":" + std::to_string(aEndpoint.port);
 }
 
+std::string
+Encode(const Response& aResponse)
+{
+  std::string text = "HTTP/1.1 " + std::to_string(aResponse.status) + " Status\r\n";
+  for (const auto& [name, value] : aResponse.headers) {
+    text += name;
+    text += ": " + value + "\r\n";
+  }
+  return text + "Content-Length: " + std::to_string(aResponse.body.size()) + "\r\n\r\n" + aResponse.body;
+}
+
 Record::Record(const std::string& aPath)
   : file(std::fopen(aPath.c_str(), "w"))
 {
@@ -302,6 +302,7 @@
 Server::Serve(int aSocket)
 {
   std::string input;
+  std::string late;
   bool reset = false;
   while (!this->closed) {
     Request request;
@@ -316,8 +317,12 @@
     }
     std::istringstream line(first);
     line >> request.method >> request.target;
+    if (!WriteAll(aSocket, late)) {
+      break;
+    }
     const std::optional<Response> response = this->handler(request);
     reset = !response;
+    late = response ? response->late : "";
     if (!response || !WriteAll(aSocket, Encode(*response))) {
       break;
     }
@@ -422,7 +427,7 @@
   {
     const std::lock_guard<std::mutex> lock(this->mutex);
     if (this->turnedAway[aNode]) {
-      return Response{ 503, {}, "" };
+      return Response{ 503, {}, "", "" };
     }
   }
   const std::map<std::string, std::string> query = ParseQuery(aRequest.target);
@@ -432,7 +437,7 @@
   if (StartsWith(aRequest.target, "/-/kv-watch")) {
     return this->Watch(aNode, query);
   }
-  return Response{ 404, {}, "" };
+  return Response{ 404, {}, "", "" };
 }
 
 Response
@@ -461,7 +466,7 @@
   const auto ready = [&] { return this->closed || this->turnedAway[aNode] || this->revision > after; };
   this->changed.wait_until(lock, until, ready);
   if (this->closed || this->turnedAway[aNode]) {
-    return { 503, {}, "" };
+    return { 503, {}, "", "" };
   }
   std::string text;
   for (const auto& [changedAt, event] : this->history) {
@@ -514,7 +519,10 @@
   if (!wanted.empty() && wanted != this->options.id) {
     this->record.Add("leaf " + name + " answers 421 to " + id + ", which expects " + wanted);
     return Response{
-      421, { { "X-Request-Id", id }, { "X-Not-Executed", "1" }, { "X-Instance-Id", this->options.id } }, ""
+      421,
+      { { "X-Request-Id", id }, { "X-Not-Executed", "1" }, { "X-Instance-Id", this->options.id } },
+      "",
+      ""
     };
   }
   std::function<std::optional<Response>(const Request&, Response)> behave;
--- a/review/lib-2/standins.h
+++ b/review/lib-2/standins.h
@@ -75,8 +75,14 @@
   int status = 200;
   Headers headers;
   std::string body;
+  /// Bytes that a server sends once more after this response, when the next request has arrived.
+  std::string late;
 };
 
+/// \return the bytes of a response on the wire
+std::string
+Encode(const Response& aResponse);
+
 /// HTTP/1.1 server with one thread for each connection.
 class Server
 {
