--- a/review/10/case.cpp
+++ b/review/10/case.cpp
@@ -1,8 +1,12 @@
 /// \file
-/// The operator raises the limit on bodies. Callers that keep idle connections send larger bodies on them,
-/// later than the new version has to be in force everywhere. None may be refused for its size.
+/// A leaf says in its answers that it leaves, and its entry is removed. A write of its entry from before,
+/// whose answer the store lost, is done late and brings the entry back. The node must not send requests to
+/// the leaf again.
 
 #include "../lib-2/standins.h"
+#include <map>
+#include <mutex>
+#include <thread>
 
 namespace {
 
@@ -11,24 +15,22 @@
 using review::Milliseconds;
 using review::Node;
 using review::Record;
+using review::Request;
+using review::Response;
 
 constexpr char kHost[] = "users.example";
-constexpr int kCallers = 20;
-constexpr std::size_t kOldLimit = 4096;
-constexpr std::size_t kNewLimit = 262144;
-constexpr std::size_t kBody = 20000;
-constexpr Milliseconds kConfigApply{ 3000 };
+constexpr int kCallers = 8;
+constexpr Milliseconds kPause{ 50 };
+constexpr Milliseconds kWork{ 120 };
+constexpr Milliseconds kDrain{ 3000 };
+constexpr Milliseconds kLate{ 5500 };   // a late write is done 1 to 6 s later
+constexpr Milliseconds kExpiry{ 3600 }; // three heartbeat intervals
 
-std::string
-Configuration(int aVersion, std::size_t aMaxBody)
-{
-  return R"({"version":)" + std::to_string(aVersion) +
-         R"(,"routes":[{"name":"slips","host":"users.example","pathPrefix":"/slips/","type":"idempotent",)"
-         R"("timeoutMs":2000,"sloMs":500,"priority":1,"service":"ledger","attempts":2}],)"
-         R"("services":[{"name":"ledger","healthPath":"/health","maxConns":100}],)"
-         R"("limits":{"maxHeaderBytes":16384,"maxBodyBytes":)" +
-         std::to_string(aMaxBody) + R"(,"headerTimeoutMs":3000,"idleTimeoutMs":15000}})";
-}
+constexpr char kConfiguration[] =
+  R"({"version":7,"routes":[{"name":"slips","host":"users.example","pathPrefix":"/slips/","type":"idempotent",)"
+  R"("timeoutMs":1000,"sloMs":200,"priority":1,"service":"ledger","attempts":2}],)"
+  R"("services":[{"name":"ledger","healthPath":"/health","maxConns":100}],)"
+  R"("limits":{"maxHeaderBytes":16384,"maxBodyBytes":262144,"headerTimeoutMs":3000,"idleTimeoutMs":15000}})";
 
 int
 Run(Record& aRecord, bool aTrouble)
@@ -37,54 +39,91 @@
   Node::Ports ports;
   const std::string network = review::FindNetwork(1, ports);
   review::Store store(aRecord);
-  const review::Endpoint forNode = store.OpenFor("node-1", network + ".101");
-  Leaf first(aRecord, { "i-ledger-1", "ledger", "a", network + ".201" });
-  Leaf second(aRecord, { "i-ledger-2", "ledger", "a", network + ".201" });
-  store.Put(first.Key(), first.Registration("ready", 1));
-  store.Put(second.Key(), second.Registration("ready", 1));
-  store.Put("op/config", Configuration(7, aTrouble ? kOldLimit : kNewLimit));
-  Node node(aRecord, folder.Path(), { "node-1", "a", network + ".1", ports, { network + ".1" }, forNode });
+  Leaf stays(aRecord, { "i-ledger-1", "ledger", "a", network + ".201", kWork });
+  Leaf leaves(aRecord, { "i-ledger-2", "ledger", "a", network + ".201", kWork });
+  store.Put("op/config", kConfiguration);
+  store.Put(stays.Key(), stays.Registration("ready", 1));
+  store.Put(leaves.Key(), leaves.Registration("ready", 1));
+  Node node(
+    aRecord,
+    folder.Path(),
+    { "node-1", "a", network + ".1", ports, { network + ".1" }, store.OpenFor("node-1", network + ".101") });
   node.Start();
   if (!node.WaitReady(Milliseconds(5000))) {
     return 2;
   }
-  std::this_thread::sleep_for(Milliseconds(4000));
-  int requests = 0;
-  int denied = 0;
-  std::vector<std::unique_ptr<review::Connection>> callers;
-  const auto post = [&](review::Connection& aConnection, std::size_t aSize) {
-    Attempt attempt;
-    attempt.id = review::NextId();
-    attempt.method = "POST";
-    attempt.target = "/slips/1";
-    attempt.body.assign(aSize, 'x');
-    attempt.deadline = Milliseconds(2000);
-    if (!aConnection.IsOpen() && !aConnection.Open(node.Callers())) {
-      return 0;
+  std::mutex mutex;
+  std::map<std::string, Milliseconds> sent;
+  std::optional<Milliseconds> passedOn;
+  int served = 0;
+  std::atomic<bool> stop{ false };
+  const auto call = [&] {
+    review::Connection connection;
+    while (!stop) {
+      if (!connection.IsOpen() && !connection.Open(node.Callers())) {
+        continue;
+      }
+      Attempt attempt;
+      attempt.id = review::NextId();
+      attempt.target = "/slips/1";
+      {
+        const std::lock_guard<std::mutex> lock(mutex);
+        sent[attempt.id] = aRecord.Now();
+      }
+      const auto response = review::Send(aRecord, connection, kHost, attempt);
+      {
+        const std::lock_guard<std::mutex> lock(mutex);
+        served += response && response->status == 200 ? 1 : 0;
+        if (response && !passedOn && review::Find(response->headers, "Server-Leaving") == "1") {
+          passedOn = aRecord.Now();
+          aRecord.Add("the node has passed on an answer with Server-Leaving");
+        }
+      }
+      std::this_thread::sleep_for(kPause);
     }
-    ++requests;
-    const auto response = review::Send(aRecord, aConnection, kHost, attempt);
-    const int status = response ? response->status : 0;
-    const bool promise = status == 408 || status == 421 || status == 429;
-    denied += status >= 300 && status < 500 && !promise ? 1 : 0;
-    return status;
   };
+  std::vector<std::thread> callers;
   for (int index = 0; index < kCallers; ++index) {
-    callers.push_back(std::make_unique<review::Connection>());
-    if (post(*callers.back(), kOldLimit / 4) != 200) {
-      return 2;
-    }
+    callers.emplace_back(call);
+  }
+  const auto wait = [](Milliseconds aTime) { std::this_thread::sleep_for(aTime); };
+  wait(Milliseconds(5000));
+  const std::string written = leaves.Registration("ready", 5);
+  const Milliseconds writtenAt = aRecord.Now();
+  if (aTrouble) {
+    aRecord.Add("store loses the answer of a write of " + leaves.Key() + " and does it late");
   }
-  store.Put("op/config", Configuration(19, kNewLimit));
-  std::this_thread::sleep_for(kConfigApply + Milliseconds(1500));
-  for (const auto& caller : callers) {
-    post(*caller, kBody);
+  wait(Milliseconds(100));
+  leaves.SetBehaviour([&leaves](const Request&, Response aResponse) {
+    std::this_thread::sleep_for(leaves.Settings().work);
+    aResponse.headers.emplace_back("Server-Leaving", "1");
+    return aResponse;
+  });
+  aRecord.Add("leaf i-ledger-2 leaves and says so in its answers");
+  wait(Milliseconds(600));
+  store.Remove(leaves.Key());
+  wait(writtenAt + kLate - aRecord.Now());
+  if (aTrouble) {
+    store.Put(leaves.Key(), written);
+  }
+  wait(kExpiry);
+  store.Remove(leaves.Key());
+  wait(Milliseconds(500));
+  stop = true;
+  for (std::thread& caller : callers) {
+    caller.join();
   }
   node.Kill();
-  const int allowed = 5 + requests / 500;
-  aRecord.Add("requests " + std::to_string(requests) + ", ended with a 4xx of the node's own " +
-              std::to_string(denied) + ", allowed " + std::to_string(allowed));
-  return denied > allowed ? 1 : 0;
+  if (!passedOn || served == 0) {
+    return 2;
+  }
+  int late = 0;
+  for (const review::Arrival& arrival : leaves.Arrivals()) {
+    late += sent[arrival.id] > *passedOn + kDrain ? 1 : 0;
+  }
+  aRecord.Add("requests sent later than drainMs after that answer that reached the leaf: " +
+              std::to_string(late));
+  return late > 0 ? 1 : 0;
 }
 
 } // namespace
