--- a/review/8/case.cpp
+++ b/review/8/case.cpp
@@ -24,7 +24,8 @@
 constexpr Milliseconds kDrain{ 3000 };
 constexpr Milliseconds kStay{ 400 }; // a leaf serves a little longer than drainMs
 constexpr Milliseconds kWork{ 120 };
-constexpr Milliseconds kPause{ 50 };
+constexpr Milliseconds kPause{ 20 };
+constexpr Milliseconds kPauseStep{ 13 }; // keeps the callers out of step
 constexpr int kCallers = 8;
 
 constexpr char kConfiguration[] =
@@ -60,7 +61,7 @@
   std::mutex mutex;
   std::map<std::string, int> answers;
   std::atomic<bool> stop{ false };
-  const auto call = [&] {
+  const auto call = [&](int aIndex) {
     review::Connection connection;
     while (!stop) {
       if (!connection.IsOpen() && !connection.Open(asked.Callers())) {
@@ -76,12 +77,12 @@
         const std::lock_guard<std::mutex> lock(mutex);
         answers[attempt.id] = response ? response->status : 0;
       }
-      std::this_thread::sleep_for(kPause);
+      std::this_thread::sleep_for(kPause + aIndex * kPauseStep);
     }
   };
   std::vector<std::thread> callers;
   for (int index = 0; index < kCallers; ++index) {
-    callers.emplace_back(call);
+    callers.emplace_back(call, index);
   }
   const auto wait = [](Milliseconds aTime) { std::this_thread::sleep_for(aTime); };
   wait(Milliseconds(4000));
