Let a node that the store turned away read it again

Cause: a reader whose calls fail says so in its record, is not chosen as a reader and ended. Only an answer to its own call takes that back, so it never read again. After some spells one reader of the fleet is left, and when it is lost nobody reads for more than two seconds.

Change: a node whose calls fail continues to try until the store answers.

--- a/src/changefeed/internal/changerelay.cpp
+++ b/src/changefeed/internal/changerelay.cpp
@@ -121,7 +121,9 @@
     // A node that reads because of a missing confirmation continues for a while, so that late confirmations
     // do not start and stop its reader each time.
     this->fallbackUntil = stale ? now + kFallbackReadTime : this->fallbackUntil;
-    this->SetReading(chosen || now < this->fallbackUntil);
+    // A node that the source turned away is not chosen. It would stay so for good if it stopped trying.
+    const bool retries = this->reading && this->gossip.Own().sourceUnreachable;
+    this->SetReading(chosen || retries || now < this->fallbackUntil);
     this->NotifyPeers();
   }
 
--- a/src/changefeed/tests/changefeed_tests.cpp
+++ b/src/changefeed/tests/changefeed_tests.cpp
@@ -373,6 +373,27 @@
   REQUIRE(fleet.CountAt(2) == 8);
 }
 
+// Guards against nodes that the source turned away once and that never read it again, so that nobody reads
+// when the last reader is lost.
+TEST_CASE("A node that the source turned away reads it again when the source answers it", "[relay][store]")
+{
+  const std::size_t nodes = GENERATE(2, 8);
+  FeedFleet fleet;
+  fleet.StartAndSettle(nodes, seconds(5));
+  const std::size_t readers = fleet.Readers().size();
+  for (std::size_t i = 1; i < nodes; ++i) {
+    fleet.refused.insert(i);
+  }
+  fleet.timers.RunFor(milliseconds(4500));
+  REQUIRE(fleet.Gossip(1).Own().sourceUnreachable);
+  fleet.refused.clear();
+  fleet.timers.RunFor(seconds(4));
+  REQUIRE(fleet.Readers().size() == readers);
+  for (std::size_t i = 0; i < nodes; ++i) {
+    REQUIRE_FALSE(fleet.Gossip(i).Own().sourceUnreachable);
+  }
+}
+
 TEST_CASE("A node without contact to peers reads the source itself", "[relay][partition]")
 {
   FeedFleet fleet;
