Do not take a node's own refused calls for an outage of the store

Cause: after an outage a removal is not final for 2.2 s, as the leaf may register again. A reader concluded from its own failed calls that the store had been away, also when other nodes read it all the while.

Change: the relay tells the reader when other nodes read the store. Calls that failed while others were answered are no outage.

--- a/src/changefeed/changefeed.h
+++ b/src/changefeed/changefeed.h
@@ -28,6 +28,9 @@
 
   /// Stops reading. The answer to a request in progress is dropped.
   virtual void End() = 0;
+
+  /// Informs the reader that another node read the source, which was not away at that time.
+  virtual void OnReadElsewhere(TimePoint aWhen) = 0;
 };
 
 /// Fetches changes from another node.
--- a/src/changefeed/internal/changerelay.cpp
+++ b/src/changefeed/internal/changerelay.cpp
@@ -54,7 +54,7 @@
       return;
     }
     if (aPosition.revision == this->log.Revision()) {
-      this->Confirm(aPosition.confirmed);
+      this->ConfirmByPeer(aPosition.confirmed);
     }
   }
 
@@ -80,6 +80,12 @@
     this->gossip.SetFeedPosition({ this->log.Revision(), this->confirmed });
   }
 
+  void ConfirmByPeer(TimePoint aWhen)
+  {
+    this->reader.OnReadElsewhere(aWhen);
+    this->Confirm(aWhen);
+  }
+
   void NotifyPeers()
   {
     for (const PeerRecord* peerToNotify : ChoosePeersToNotify(this->gossip.Peers(), this->reading)) {
@@ -102,7 +108,7 @@
                        }
                        const bool updated = this->Apply(*aBatch);
                        if (this->log.Revision() >= aBatch->upTo) {
-                         this->Confirm(confirmed);
+                         this->ConfirmByPeer(confirmed);
                        }
                        if (updated) {
                          this->NotifyPeers();
--- a/src/changefeed/tests/changefeed_tests.cpp
+++ b/src/changefeed/tests/changefeed_tests.cpp
@@ -52,6 +52,8 @@
 
     void End() override { this->reading = false; }
 
+    void OnReadElsewhere(TimePoint) override {}
+
     void Poll()
     {
       if (!this->reading) {
