Check the age of a confirmation when it is due, not each 0.5 s

Seen by callers: when all readers stall just before a removal, a node may use the leaf up to 0.1 s longer than drainMs of 3 s, as it begins to read up to 3.1 s after the last confirmation (2.2 s, a random part of 0.4 s and up to 0.5 s to the next check).

Change: the check is scheduled for the end of the permitted age.

Evidence: "A change just after all readers stalled is known within 2.7 s" fails before (node 4, phase 100 ms) and passes now.

--- a/src/changefeed/internal/changerelay.cpp
+++ b/src/changefeed/internal/changerelay.cpp
@@ -119,11 +119,13 @@
   void Tick()
   {
     const TimePoint now = this->clock.Now();
-    this->timer = this->timers.At(now + kTickInterval, [this] { this->Tick(); });
+    const TimePoint staleAt = this->confirmed + this->staleAfter;
+    const TimePoint next = now + kTickInterval;
+    this->timer = this->timers.At(staleAt > now ? std::min(staleAt, next) : next, [this] { this->Tick(); });
     const std::vector<std::string> readers = ChooseReaders(this->gossip.Peers());
     const std::string& own = this->gossip.Own().host;
     const bool chosen = std::find(readers.begin(), readers.end(), own) != readers.end();
-    const bool stale = now - this->confirmed > this->staleAfter;
+    const bool stale = now >= staleAt;
     // A node that reads because of a missing confirmation continues for a while, so that late confirmations
     // do not start and stop its reader each time.
     this->fallbackUntil = stale ? now + kFallbackReadTime : this->fallbackUntil;
--- a/src/changefeed/tests/changefeed_tests.cpp
+++ b/src/changefeed/tests/changefeed_tests.cpp
@@ -396,6 +396,29 @@
   }
 }
 
+// Guards against a removed leaf that gets requests later than drainMs (3,000) because the removal came just
+// after the last confirmation of readers that then stall.
+TEST_CASE("A change just after all readers stalled is known within 2.7 s", "[relay][store]")
+{
+  for (std::size_t served = 0; served < 8; ++served) {
+    for (int phase = 0; phase < 500; phase += 50) {
+      CAPTURE(served, phase);
+      FeedFleet fleet;
+      fleet.StartAndSettle(8, seconds(5) + milliseconds(phase));
+      if (fleet.Readers().count(served) != 0) {
+        continue;
+      }
+      for (std::size_t i = 0; i < 8; ++i) {
+        fleet.stalled.insert(i);
+      }
+      fleet.stalled.erase(served);
+      fleet.Publish(2);
+      fleet.timers.RunFor(milliseconds(2700));
+      REQUIRE(fleet.CountAt(2) == 8);
+    }
+  }
+}
+
 TEST_CASE("A node without contact to peers reads the source itself", "[relay][partition]")
 {
   FeedFleet fleet;
