Keep what a leaf said of itself for its incarnation, not its entry

Cause: leaving and pause were kept in the handle of the entry. The removal of the entry dropped them, and a late write of the same incarnation made a new handle. An answer after the removal changed only the old handle.

Change: both are kept in an incarnation that all handles of one start of the leaf share, for 60 s after the entry is gone and of at most 4,096 removed leafs. The test "Only a new incarnation or the removal of its entry ends a leaf's leaving" never checked the removal, which its name allowed; it is renamed, and the new tests check that a removal ends nothing.

The three new tests fail before.

--- a/src/changefeed/changefeed.h
+++ b/src/changefeed/changefeed.h
@@ -62,8 +62,8 @@
   /// current.
   virtual void OnRead(const ChangeBatch& aBatch) = 0;
 
-  /// Sets whether the reader can reach the source. While it cannot, it continues to try: only an answer to its
-  /// own call shows that the source serves this node again.
+  /// Sets whether the reader can reach the source. While it cannot, it continues to try: only an answer to
+  /// its own call shows that the source serves this node again.
   virtual void SetSourceReachable(bool aReachable) = 0;
 
   /// Processes the feed position of another node and fetches the changes that this node lacks.
--- a/src/gateway/internal/leafdirectory.cpp
+++ b/src/gateway/internal/leafdirectory.cpp
@@ -8,6 +8,23 @@
 // Time after a pause in which the calls to the leaf grow to the number of its slots.
 constexpr Duration kReturnTime = std::chrono::milliseconds(500);
 constexpr int kReturnSteps = 10;
+// A write of an entry may be done seconds after the leaf's last one, and the entry then stands for up to
+// three heartbeat intervals.
+constexpr Duration kRetention = std::chrono::seconds(60);
+// Ten times the leafs of a large deployment.
+constexpr std::size_t kMaxRetired = 4096;
+
+/// \return text that is the same for all registrations of one start of a leaf. A leaf that does not give its
+///   start time is identified by its service and address.
+std::string
+IncarnationKey(const LeafRegistration& aRegistration)
+{
+  std::string key = aRegistration.id + ' ';
+  if (aRegistration.startTimeMs != 0) {
+    return key + std::to_string(aRegistration.startTimeMs);
+  }
+  return key + ToString(aRegistration.endpoint) + ' ' + aRegistration.service;
+}
 
 void
 Erase(std::vector<Ref<LeafHandle>>& aLeafs, const Ref<LeafHandle>& aLeaf)
@@ -30,9 +47,9 @@
 LeafHandle::Apply(const LeafNotice& aNotice, const std::string& aRequest, TimePoint aNow)
 {
   LeafNoticeEffect effect;
-  if (aNotice.leaving && !this->leaving) {
+  if (aNotice.leaving && !this->incarnation->leaving) {
     effect.leavingBegan = true;
-    this->leaving = true;
+    this->incarnation->leaving = true;
     LogEvent(LogLevel::kInfo,
              "leaf_leaving",
              { { "leaf", this->registration.id },
@@ -43,7 +60,8 @@
   if (aNotice.pause && *aNotice.pause > Duration::zero()) {
     effect.pauseBegan = !this->Paused(aNow);
     const TimePoint end = aNow + *aNotice.pause;
-    this->pausedUntil = effect.pauseBegan ? end : std::max(*this->pausedUntil, end);
+    std::optional<TimePoint>& pausedUntil = this->incarnation->pausedUntil;
+    pausedUntil = effect.pauseBegan ? end : std::max(*pausedUntil, end);
   }
   if (effect.pauseBegan) {
     LogEvent(
@@ -60,13 +78,14 @@
 bool
 LeafHandle::TurnsAway(TimePoint aNow) const
 {
-  if (!this->pausedUntil || aNow >= *this->pausedUntil + kReturnTime) {
+  const std::optional<TimePoint>& pausedUntil = this->incarnation->pausedUntil;
+  if (!pausedUntil || aNow >= *pausedUntil + kReturnTime) {
     return false;
   }
-  if (aNow < *this->pausedUntil) {
+  if (aNow < *pausedUntil) {
     return true;
   }
-  const Duration elapsed = aNow - *this->pausedUntil;
+  const Duration elapsed = aNow - *pausedUntil;
   const auto allowed = static_cast<std::size_t>(this->registration.slots * elapsed / kReturnTime);
   return this->condition.InFlight() >= std::max<std::size_t>(1, allowed);
 }
@@ -74,7 +93,7 @@
 TimePoint
 LeafHandle::ReturnsAt(TimePoint aNow) const
 {
-  return this->Paused(aNow) ? *this->pausedUntil : aNow + kReturnTime / kReturnSteps;
+  return this->Paused(aNow) ? *this->incarnation->pausedUntil : aNow + kReturnTime / kReturnSteps;
 }
 
 bool
@@ -101,6 +120,7 @@
   }
   const Ref<LeafHandle> leaf(new LeafHandle);
   leaf->registration = aRegistration;
+  leaf->incarnation = this->FindIncarnation(aRegistration);
   leaf->coldUntil = this->clock.Now() + aRegistration.warmupLeft;
   std::vector<Ref<LeafHandle>>& sharing = this->byEndpoint[aRegistration.endpoint];
   sharing.push_back(leaf);
@@ -120,9 +140,55 @@
   const Ref<LeafHandle> leaf = known->second;
   this->byId.erase(known);
   this->Unlink(leaf);
+  this->Retire(*leaf->incarnation);
   return true;
 }
 
+Ref<LeafIncarnation>
+LeafDirectory::FindIncarnation(const LeafRegistration& aRegistration)
+{
+  this->ForgetRetired();
+  const std::string key = IncarnationKey(aRegistration);
+  Ref<LeafIncarnation>& incarnation = this->incarnations[key];
+  if (!incarnation) {
+    incarnation.reset(new LeafIncarnation);
+    incarnation->key = key;
+  } else if (incarnation->is_linked()) {
+    incarnation->unlink();
+    --this->retiredCount;
+  }
+  return incarnation;
+}
+
+void
+LeafDirectory::Retire(LeafIncarnation& aIncarnation)
+{
+  aIncarnation.forgetAt = this->clock.Now() + kRetention;
+  this->retired.push_back(aIncarnation);
+  ++this->retiredCount;
+  this->ForgetRetired();
+}
+
+void
+LeafDirectory::ForgetRetired()
+{
+  const TimePoint now = this->clock.Now();
+  while (!this->retired.empty()) {
+    LeafIncarnation& oldest = this->retired.front();
+    const bool excess = this->retiredCount > kMaxRetired;
+    if (oldest.forgetAt > now && !excess) {
+      return;
+    }
+    this->retired.pop_front();
+    --this->retiredCount;
+    if (!excess && oldest.pausedUntil && *oldest.pausedUntil > now) {
+      this->Retire(oldest);
+      return;
+    }
+    this->incarnations.erase(oldest.key);
+  }
+}
+
 void
 LeafDirectory::Unlink(const Ref<LeafHandle>& aLeaf)
 {
--- a/src/gateway/leafdirectory.h
+++ b/src/gateway/leafdirectory.h
@@ -119,18 +119,29 @@
   bool pauseBegan = false;
 };
 
+/// What a leaf said of itself in its answers. It holds for one start of the leaf, whatever becomes of its
+/// registration.
+struct LeafIncarnation
+  : RefCounted<LeafIncarnation>
+  , boost::intrusive::list_base_hook<boost::intrusive::link_mode<boost::intrusive::auto_unlink>>
+{
+  bool leaving = false;                 ///< the leaf leaves; nothing takes this back
+  std::optional<TimePoint> pausedUntil; ///< end of the last pause that the leaf asked for
+
+  std::string key;    ///< of the directory, which identifies the start
+  TimePoint forgetAt; ///< while the leaf is not registered
+};
+
 /// One leaf with its registration, observed condition and call limit.
 struct LeafHandle : RefCounted<LeafHandle>
 {
   LeafRegistration registration;
+  Ref<LeafIncarnation> incarnation{ new LeafIncarnation }; ///< shared by all registrations of one start
   LeafCondition condition;
   ConcurrencyLimit limit;
   TimePoint coldUntil;     ///< the leaf is slow after its start until then
   bool withdrawn = false;  ///< no longer registered, for good
   bool superseded = false; ///< a later registration holds its address; ends when that one is removed
-  bool leaving = false;    ///< announced in an answer that it leaves; holds for this incarnation
-
-  std::optional<TimePoint> pausedUntil; ///< end of the last pause that the leaf asked for
 
   /// Applies what the leaf said in an answer. Nothing takes a notice of leaving back. A pause is never
   /// shortened: during it the leaf gets no requests, so any further answer may have been sent before the one
@@ -138,7 +149,13 @@
   LeafNoticeEffect Apply(const LeafNotice& aNotice, const std::string& aRequest, TimePoint aNow);
 
   /// \return whether the leaf gets no requests because it asked for a pause
-  bool Paused(TimePoint aNow) const { return this->pausedUntil && aNow < *this->pausedUntil; }
+  bool Paused(TimePoint aNow) const
+  {
+    return this->incarnation->pausedUntil && aNow < *this->incarnation->pausedUntil;
+  }
+
+  /// \return whether the leaf announced in an answer that it leaves
+  bool Leaving() const { return this->incarnation->leaving; }
 
   /// \return whether the leaf gets no further request now: it pauses, or has enough calls for the time since
   /// its
@@ -151,7 +168,7 @@
   /// \return whether the leaf may get new requests
   bool AcceptsRequests() const
   {
-    return !this->withdrawn && !this->superseded && !this->leaving && !this->registration.draining;
+    return !this->withdrawn && !this->superseded && !this->Leaving() && !this->registration.draining;
   }
 };
 
@@ -185,7 +202,21 @@
   /// \return registered leafs whose address a later registration holds
   std::size_t CountSuperseded() const;
 
+  /// \return starts of leafs of which something is kept, those of removed leafs included
+  std::size_t CountIncarnations() const { return this->incarnations.size(); }
+
 private:
+  using Incarnations = boost::intrusive::list<LeafIncarnation, boost::intrusive::constant_time_size<false>>;
+
+  /// \return the incarnation that a registration belongs to, which is kept until the registration is removed
+  Ref<LeafIncarnation> FindIncarnation(const LeafRegistration& aRegistration);
+
+  /// Keeps the incarnation of a removed leaf for a while.
+  void Retire(LeafIncarnation& aIncarnation);
+
+  /// Forgets the incarnations of removed leafs that are due, and the oldest ones above the limit.
+  void ForgetRetired();
+
   void Unlink(const Ref<LeafHandle>& aLeaf);
 
   /// Decides which registration of an address holds it.
@@ -196,7 +227,10 @@
   std::map<std::string, Ref<LeafHandle>> byId;
   std::map<std::string, std::vector<Ref<LeafHandle>>> byService;
   std::map<Endpoint, std::vector<Ref<LeafHandle>>> byEndpoint; ///< in the order of their first application
-  std::set<std::string> services;                              ///< empty before the first configuration
+  std::map<std::string, Ref<LeafIncarnation>> incarnations;    ///< by LeafIncarnation::key
+  Incarnations retired;                                        ///< of removed leafs, the oldest first
+  std::size_t retiredCount = 0;
+  std::set<std::string> services; ///< empty before the first configuration
 };
 
 } // namespace yp
--- a/src/gateway/tests/fakeexchange.h
+++ b/src/gateway/tests/fakeexchange.h
@@ -148,6 +148,17 @@
     this->AddLeaf("plain-b", "plain", "b");
   }
 
+  /// \return the leaf of an id among those of the service "plain"
+  Ref<LeafHandle> Leaf(const std::string& aId) const
+  {
+    for (const Ref<LeafHandle>& leaf : this->leafs.Leafs("plain")) {
+      if (leaf->registration.id == aId) {
+        return leaf;
+      }
+    }
+    return nullptr;
+  }
+
   static std::string Shard(std::size_t aIndex) { return "shard" + std::to_string(aIndex); }
 
   static Ref<RoutingState> MakeRouting(std::uint64_t aVersion)
--- a/src/gateway/tests/gateway_tests.cpp
+++ b/src/gateway/tests/gateway_tests.cpp
@@ -311,7 +311,7 @@
   REQUIRE(fixture.exchange.CountSent("shard0-a") == before + 1);
 }
 
-TEST_CASE("Only a new incarnation or the removal of its entry ends a leaf's leaving", "[drain][leaving]")
+TEST_CASE("Only a new incarnation ends a leaf's leaving", "[drain][leaving]")
 {
   GatewayFixture fixture;
   const Ref<LeafHandle> leaf = fixture.leafs.Leafs("plain")[0];
@@ -331,6 +331,75 @@
                         [](const Ref<LeafHandle>& aLeaf) { return aLeaf->AcceptsRequests(); }) == 2);
 }
 
+// Guards against a leaf that gets requests again after it said that it leaves, because a late write of its
+// entry, which the store had already removed, makes it look like a new leaf.
+TEST_CASE("A leaf that leaves gets no requests when its entry is removed and comes back", "[drain][leaving]")
+{
+  const bool answerBeforeRemoval = GENERATE(true, false);
+  const std::uint64_t startTimeMs = GENERATE(0, 7);
+  GatewayFixture fixture;
+  LeafRegistration entry = fixture.leafs.Leafs("plain")[0]->registration;
+  entry.startTimeMs = startTimeMs;
+  fixture.leafs.Apply(entry);
+  const Ref<LeafHandle> leaf = fixture.Leaf(entry.id);
+  LeafNotice notice;
+  notice.leaving = true;
+  if (answerBeforeRemoval) {
+    leaf->Apply(notice, "request", fixture.clock.Now());
+  }
+  fixture.leafs.Remove(entry.id);
+  fixture.timers.RunFor(seconds(3));
+  if (!answerBeforeRemoval) {
+    leaf->Apply(notice, "request", fixture.clock.Now());
+  }
+  fixture.timers.RunFor(seconds(6));
+  fixture.leafs.Apply(entry);
+  REQUIRE_FALSE(fixture.Leaf(entry.id)->AcceptsRequests());
+  entry.startTimeMs = 9;
+  fixture.leafs.Apply(entry);
+  REQUIRE(fixture.Leaf(entry.id)->AcceptsRequests());
+}
+
+// Guards against more than two requests to a leaf during its pause: its entry lapses and is written again
+// while it pauses.
+TEST_CASE("A leaf's pause outlives the removal of its entry", "[pause]")
+{
+  GatewayFixture fixture;
+  const LeafRegistration entry = fixture.leafs.Leafs("plain")[0]->registration;
+  LeafNotice notice;
+  notice.pause = std::chrono::minutes(2);
+  fixture.Leaf(entry.id)->Apply(notice, "request", fixture.clock.Now());
+  fixture.leafs.Remove(entry.id);
+  fixture.timers.RunFor(seconds(100));
+  fixture.leafs.Remove("plain-b");
+  fixture.leafs.Apply(entry);
+  REQUIRE(fixture.Leaf(entry.id)->Paused(fixture.clock.Now()));
+  fixture.timers.RunFor(seconds(20));
+  REQUIRE_FALSE(fixture.Leaf(entry.id)->Paused(fixture.clock.Now()));
+}
+
+// Guards against memory that grows with the number of leafs that ever left, and against a leaf without a
+// start time that stays out of use for good because an earlier leaf of its id left.
+TEST_CASE("Incarnations of removed leafs are forgotten", "[memory]")
+{
+  GatewayFixture fixture;
+  LeafRegistration entry = fixture.leafs.Leafs("plain")[0]->registration;
+  LeafNotice notice;
+  notice.leaving = true;
+  const std::size_t before = fixture.leafs.CountIncarnations();
+  for (int i = 0; i < 20000; ++i) {
+    entry.id = "replaced-" + std::to_string(i);
+    fixture.leafs.Apply(entry);
+    fixture.Leaf(entry.id)->Apply(notice, "request", fixture.clock.Now());
+    fixture.leafs.Remove(entry.id);
+  }
+  REQUIRE(fixture.leafs.CountIncarnations() <= before + 4096);
+  fixture.timers.RunFor(seconds(61));
+  fixture.leafs.Apply(entry);
+  REQUIRE(fixture.Leaf(entry.id)->AcceptsRequests());
+  REQUIRE(fixture.leafs.CountIncarnations() == before + 1);
+}
+
 // Guards against requests to a leaf that wants none for a time, and against taking its pause for a failure.
 TEST_CASE("A leaf that asks for a pause gets no requests until its end", "[pause]")
 {
