Do not let a late write of its entry take back that a leaf drains

Seen by callers: requests later than drainMs at a leaf that drains, when a write of its entry from before is done late and the store publishes it after the one that says so.

Cause: sequence, which orders what one start of a leaf writes, was not read, and only the state of the last entry counted.

Change: the incarnation keeps the sequence of its last entry as draining; an entry with a lower one says nothing new. For a leaf without born a lower sequence shows a restart, which ends what the start before it said.

Evidence: "A late write of its entry does not take back that a leaf drains" fails before; the test of the restart without born passes.

--- a/src/gateway/internal/leafdirectory.cpp
+++ b/src/gateway/internal/leafdirectory.cpp
@@ -102,16 +102,17 @@
   const auto known = this->byId.find(aRegistration.id);
   if (known != this->byId.end()) {
     LeafHandle& leaf = *known->second;
-    if (leaf.registration == aRegistration) {
-      leaf.registration.revision = aRegistration.revision;
+    const bool restarted = leaf.incarnation->EndedBefore(aRegistration);
+    if (leaf.registration == aRegistration && !restarted) {
+      SetRegistration(leaf, aRegistration);
       this->UpdateHolder(this->byEndpoint[aRegistration.endpoint]);
       return false;
     }
-    const bool same = leaf.registration.startTimeMs == aRegistration.startTimeMs &&
+    const bool same = !restarted && leaf.registration.startTimeMs == aRegistration.startTimeMs &&
                       leaf.registration.service == aRegistration.service &&
                       leaf.registration.endpoint == aRegistration.endpoint;
     if (same) {
-      leaf.registration = aRegistration;
+      SetRegistration(leaf, aRegistration);
       leaf.coldUntil = this->clock.Now() + aRegistration.warmupLeft;
       this->UpdateHolder(this->byEndpoint[aRegistration.endpoint]);
       return true;
@@ -119,8 +120,8 @@
     this->Remove(aRegistration.id);
   }
   const Ref<LeafHandle> leaf(new LeafHandle);
-  leaf->registration = aRegistration;
   leaf->incarnation = this->FindIncarnation(aRegistration);
+  SetRegistration(*leaf, aRegistration);
   leaf->coldUntil = this->clock.Now() + aRegistration.warmupLeft;
   std::vector<Ref<LeafHandle>>& sharing = this->byEndpoint[aRegistration.endpoint];
   sharing.push_back(leaf);
@@ -144,19 +145,31 @@
   return true;
 }
 
+void
+LeafDirectory::SetRegistration(LeafHandle& aLeaf, const LeafRegistration& aRegistration)
+{
+  aLeaf.registration = aRegistration;
+  LeafIncarnation& incarnation = *aLeaf.incarnation;
+  incarnation.lastSequence = aRegistration.sequence;
+  if (aRegistration.draining) {
+    incarnation.drainingSequence = std::max(incarnation.drainingSequence, aRegistration.sequence);
+  }
+}
+
 Ref<LeafIncarnation>
 LeafDirectory::FindIncarnation(const LeafRegistration& aRegistration)
 {
   this->ForgetRetired();
   const std::string key = IncarnationKey(aRegistration);
   Ref<LeafIncarnation>& incarnation = this->incarnations[key];
-  if (!incarnation) {
-    incarnation.reset(new LeafIncarnation);
-    incarnation->key = key;
-  } else if (incarnation->is_linked()) {
+  if (incarnation && incarnation->is_linked()) {
     incarnation->unlink();
     --this->retiredCount;
   }
+  if (!incarnation || incarnation->EndedBefore(aRegistration)) {
+    incarnation.reset(new LeafIncarnation);
+    incarnation->key = key;
+  }
   return incarnation;
 }
 
--- a/src/gateway/leafdirectory.h
+++ b/src/gateway/leafdirectory.h
@@ -23,7 +23,8 @@
   bool draining = false;
   std::chrono::milliseconds warmupLeft{ 0 }; ///< remaining time in which the leaf is slow after its start
   std::uint64_t startTimeMs = 0;             ///< start of the leaf, ms since the epoch; 0 when not given
-  std::uint64_t revision = 0;                ///< position in the order of publication; not compared
+  std::uint64_t sequence = 0; ///< order of what one start of the leaf writes; 0 when not given; not compared
+  std::uint64_t revision = 0; ///< position in the order of publication; not compared
 
   bool operator==(const LeafRegistration& aOther) const;
 };
@@ -119,14 +120,24 @@
   bool pauseBegan = false;
 };
 
-/// What a leaf said of itself in its answers. It holds for one start of the leaf, whatever becomes of its
-/// registration.
+/// What a leaf said of itself in its answers and registrations. It holds for one start of the leaf, whatever
+/// becomes of its registration.
 struct LeafIncarnation
   : RefCounted<LeafIncarnation>
   , boost::intrusive::list_base_hook<boost::intrusive::link_mode<boost::intrusive::auto_unlink>>
 {
   bool leaving = false;                 ///< the leaf leaves; nothing takes this back
   std::optional<TimePoint> pausedUntil; ///< end of the last pause that the leaf asked for
+  std::uint64_t drainingSequence = 0;   ///< sequence of its last registration as draining
+  std::uint64_t lastSequence = 0;       ///< sequence of its last registration
+
+  /// \return whether a registration with the same key is of a later start. A leaf that does not give its
+  /// start
+  ///   time shows a start by a sequence that begins anew.
+  bool EndedBefore(const LeafRegistration& aRegistration) const
+  {
+    return aRegistration.startTimeMs == 0 && aRegistration.sequence < this->lastSequence;
+  }
 
   std::string key;    ///< of the directory, which identifies the start
   TimePoint forgetAt; ///< while the leaf is not registered
@@ -157,6 +168,12 @@
   /// \return whether the leaf announced in an answer that it leaves
   bool Leaving() const { return this->incarnation->leaving; }
 
+  /// \return whether the leaf drains. A registration from before it said so may be published after it.
+  bool Draining() const
+  {
+    return this->registration.draining || this->registration.sequence < this->incarnation->drainingSequence;
+  }
+
   /// \return whether the leaf gets no further request now: it pauses, or has enough calls for the time since
   /// its
   ///   pause; after a pause the number of calls grows gradually to its slots
@@ -168,7 +185,7 @@
   /// \return whether the leaf may get new requests
   bool AcceptsRequests() const
   {
-    return !this->withdrawn && !this->superseded && !this->Leaving() && !this->registration.draining;
+    return !this->withdrawn && !this->superseded && !this->Leaving() && !this->Draining();
   }
 };
 
@@ -208,6 +225,8 @@
 private:
   using Incarnations = boost::intrusive::list<LeafIncarnation, boost::intrusive::constant_time_size<false>>;
 
+  static void SetRegistration(LeafHandle& aLeaf, const LeafRegistration& aRegistration);
+
   /// \return the incarnation that a registration belongs to, which is kept until the registration is removed
   Ref<LeafIncarnation> FindIncarnation(const LeafRegistration& aRegistration);
 
--- a/src/gateway/tests/gateway_tests.cpp
+++ b/src/gateway/tests/gateway_tests.cpp
@@ -360,6 +360,56 @@
   REQUIRE(fixture.Leaf(entry.id)->AcceptsRequests());
 }
 
+// Guards against requests later than drainMs to a leaf that drains: a write of its entry from before is done
+// late, and the store publishes it after the one that says so.
+TEST_CASE("A late write of its entry does not take back that a leaf drains", "[drain]")
+{
+  GatewayFixture fixture;
+  LeafRegistration ready = fixture.leafs.Leafs("plain")[0]->registration;
+  ready.startTimeMs = 7;
+  ready.sequence = 8;
+  LeafRegistration draining = ready;
+  draining.draining = true;
+  draining.sequence = 9;
+  const auto accepts = [&fixture, id = ready.id] { return fixture.Leaf(id)->AcceptsRequests(); };
+  fixture.leafs.Apply(draining);
+  fixture.leafs.Apply(ready);
+  REQUIRE_FALSE(accepts());
+  fixture.leafs.Remove(ready.id);
+  fixture.leafs.Apply(ready);
+  REQUIRE_FALSE(accepts());
+  ready.sequence = 10;
+  fixture.leafs.Apply(ready);
+  REQUIRE(accepts());
+  fixture.leafs.Apply(draining);
+  ready.startTimeMs = 11;
+  ready.sequence = 1;
+  fixture.leafs.Apply(ready);
+  REQUIRE(accepts());
+}
+
+// Guards against a restarted leaf that stays out of use because the start before it left: neither gives its
+// start time, and id, service and address are the same.
+TEST_CASE("A leaf without a start time whose sequence begins anew has restarted", "[drain][reuse]")
+{
+  const bool removed = GENERATE(true, false);
+  GatewayFixture fixture;
+  LeafRegistration entry = fixture.leafs.Leafs("plain")[0]->registration;
+  entry.sequence = 9;
+  entry.draining = GENERATE(true, false);
+  fixture.leafs.Apply(entry);
+  LeafNotice notice;
+  notice.leaving = true;
+  fixture.Leaf(entry.id)->Apply(notice, "request", fixture.clock.Now());
+  if (removed) {
+    fixture.leafs.Remove(entry.id);
+  }
+  entry.draining = false;
+  entry.sequence = 1;
+  fixture.leafs.Apply(entry);
+  REQUIRE(fixture.Leaf(entry.id)->AcceptsRequests());
+}
+
 // Guards against more than two requests to a leaf during its pause: its entry lapses and is written again
 // while it pauses.
 TEST_CASE("A leaf's pause outlives the removal of its entry", "[pause]")
