Give up an answer whose status HTTP does not define

Cause: every status below 200 counted as an interim response.

Change: a status outside 100 to 599, and 101, ends the call as lost when the head is complete. The request counts as run, so only an idempotent one is repeated. leaf_impossible_statuses_total counts them.

--- a/src/leafhttp/internal/leafconnection.cpp
+++ b/src/leafhttp/internal/leafconnection.cpp
@@ -11,7 +11,10 @@
 using boost::system::error_code;
 using tcp = asio::ip::tcp;
 
+constexpr unsigned kFirstStatus = 100;
+constexpr unsigned kSwitchingProtocols = 101;
 constexpr unsigned kFirstFinalStatus = 200;
+constexpr unsigned kLastStatus = 599;
 constexpr std::size_t kTypicalHeadBytes = 512;
 
 void
@@ -27,6 +30,13 @@
   return aMethod == "POST" || aMethod == "PUT" || aMethod == "PATCH";
 }
 
+/// \return whether HTTP defines responses of this status to a request that does not ask for another protocol
+bool
+IsResponseStatus(unsigned aStatus)
+{
+  return aStatus >= kFirstStatus && aStatus <= kLastStatus && aStatus != kSwitchingProtocols;
+}
+
 } // namespace
 
 LeafConnection::LeafConnection(LeafHttpCore& aCore, ILeafConnectionOwner& aOwner, Endpoint aPeer)
@@ -258,13 +268,19 @@
     error_code error;
     const std::size_t used = this->parser->put(this->buffer.data(), error);
     this->buffer.consume(used);
-    if (error == http::error::need_more) {
-      return true;
-    }
-    if (error) {
+    if (error && error != http::error::need_more) {
       this->FinishLost("leaf.parse", error.message());
       return false;
     }
+    // Checked as soon as the head is complete: the body may extend to the end of the connection.
+    if (this->parser->is_header_done() && !IsResponseStatus(this->parser->get().result_int())) {
+      ++this->core.stats.impossibleStatuses;
+      this->FinishLost("leaf.parse", "status " + std::to_string(this->parser->get().result_int()));
+      return false;
+    }
+    if (error) {
+      return true;
+    }
     if (this->parser->is_done() && !this->OnResponse()) {
       return false;
     }
--- a/src/leafhttp/leafhttp.h
+++ b/src/leafhttp/leafhttp.h
@@ -64,13 +64,14 @@
   std::atomic<std::uint64_t> written{ 0 }; ///< requests whose write was started
   std::atomic<std::uint64_t> opened{ 0 };  ///< connects started
   std::atomic<std::uint64_t> connectFailures{ 0 };
-  std::atomic<std::uint64_t> foreignResponses{ 0 };  ///< dropped responses that belong to other requests
-  std::atomic<std::uint64_t> surplusByteCloses{ 0 }; ///< connections closed because of surplus bytes
-  std::atomic<std::uint64_t> oversizedCloses{ 0 };   ///< connections closed because a response is too long
-  std::atomic<std::uint64_t> pauses{ 0 };            ///< pauses that leafs asked for
-  std::atomic<std::uint64_t> malformedPauses{ 0 };   ///< times of a pause that could not be read
-  std::atomic<std::uint64_t> leavingLeafs{ 0 };      ///< leafs that announced in a response that they leave
-  std::atomic<std::uint64_t> incompleteBytes{ 0 };   ///< bytes held for incomplete responses now
+  std::atomic<std::uint64_t> foreignResponses{ 0 };   ///< dropped responses that belong to other requests
+  std::atomic<std::uint64_t> surplusByteCloses{ 0 };  ///< connections closed because of surplus bytes
+  std::atomic<std::uint64_t> oversizedCloses{ 0 };    ///< connections closed because a response is too long
+  std::atomic<std::uint64_t> pauses{ 0 };             ///< pauses that leafs asked for
+  std::atomic<std::uint64_t> impossibleStatuses{ 0 }; ///< responses with a status that HTTP does not define
+  std::atomic<std::uint64_t> malformedPauses{ 0 };    ///< times of a pause that could not be read
+  std::atomic<std::uint64_t> leavingLeafs{ 0 };       ///< leafs that announced in a response that they leave
+  std::atomic<std::uint64_t> incompleteBytes{ 0 };    ///< bytes held for incomplete responses now
 };
 
 /// Creates the exchange. All objects passed by reference, except aSettings, must outlive it.
