Read the store anew when it returns from an earlier copy

Seen by callers: after a drill of the store a removed leaf is used and a new route is unknown to the end of the run: revisions go back, and what is written again has a lower revision than what is known, or reaches it before a node has read it.

Cause: a revision alone decided what is newer. The header Store-Era, which rises by one each time, was not read.

An entry of a leaf that is gone gets no requests when a copy brings it back, until the leaf writes it or it has stood for longer than it would need to lapse.

--- a/src/changefeed/changelog.h
+++ b/src/changefeed/changelog.h
@@ -15,12 +15,12 @@
 {
   std::string key;
   std::string value;
-  std::uint64_t revision = 0;
+  std::uint64_t revision = 0; ///< position in the order of publication; see framework/global/position.h
   bool removed = false;
   bool mayReturn = false; ///< removed during or just after a source outage; may be published again soon
 };
 
-/// The changes between two revisions, or the complete state at a revision.
+/// The changes between two positions of one era, or the complete state at a position.
 struct ChangeBatch
 {
   std::uint64_t after = 0;  ///< revision that the changes follow; ignored when complete
@@ -31,13 +31,15 @@
 };
 
 /// All published values and a bounded number of removals. Of each key only the latest change is kept, so the
-/// memory does not grow with the number of changes. A value never reverts to an earlier revision.
+/// memory does not grow with the number of changes. A value never reverts to an earlier position. When the
+/// source returns from an earlier copy, the log continues with the complete state of the new era.
 class ChangeLog
 {
 public:
-  /// Applies a batch. A batch that follows a later revision than the known one, or ends before it, is
-  /// ignored.
-  /// \return the changes that were new, removals included; no changes if there were none
+  /// Applies a batch. A batch that follows a later position than the known one, or ends before it, is
+  /// ignored, and so are changes that follow a position of another era. Values that the complete state of a
+  /// new era lacks may be published again, as the source may have lost them. \return the changes that were
+  /// new, removals included; no changes if there were none
   ChangeBatch Apply(const ChangeBatch& aBatch);
 
   /// \return the latest change of each key that changed after a revision, by revision; the complete state
--- a/src/changefeed/internal/changelog.cpp
+++ b/src/changefeed/internal/changelog.cpp
@@ -16,16 +16,18 @@
   ChangeBatch fresh;
   fresh.after = this->revision;
   fresh.upTo = std::max(this->revision, aBatch.upTo);
-  const bool gap = !aBatch.complete && aBatch.after > this->revision;
+  const bool otherEra = this->revision != 0 && EraOf(aBatch.upTo) != EraOf(this->revision);
+  const bool gap = !aBatch.complete && (aBatch.after > this->revision || otherEra);
   const bool old = aBatch.upTo < this->revision;
   if (gap || old) {
     fresh.upTo = this->revision;
     return fresh;
   }
+  const bool mayReturn = aBatch.afterOutage || otherEra;
   std::set<std::string> present;
   for (Change change : aBatch.changes) {
     present.insert(change.key);
-    change.mayReturn |= change.removed && aBatch.afterOutage;
+    change.mayReturn |= change.removed && mayReturn;
     if (this->ApplyChange(change)) {
       fresh.changes.push_back(change);
     }
@@ -34,7 +36,7 @@
     std::vector<Change> removed;
     for (const auto& [key, change] : this->latest) {
       if (!change.removed && present.count(key) == 0) {
-        removed.push_back(Change{ key, "", aBatch.upTo, true, aBatch.afterOutage });
+        removed.push_back(Change{ key, "", aBatch.upTo, true, mayReturn });
       }
     }
     for (const Change& change : removed) {
--- a/src/changefeed/internal/changerelay.cpp
+++ b/src/changefeed/internal/changerelay.cpp
@@ -68,6 +68,15 @@
   {
     const std::uint64_t before = this->log.Revision();
     const ChangeBatch fresh = this->log.Apply(aBatch);
+    if (before != 0 && EraOf(this->log.Revision()) != EraOf(before)) {
+      LogEvent(LogLevel::kWarning,
+               "source_era_changed",
+               { { "era", EraOf(this->log.Revision()) },
+                 { "previous", EraOf(before) },
+                 { "revision", PositionText(this->log.Revision()) },
+                 { "known", PositionText(before) },
+                 { "changes", fresh.changes.size() } });
+    }
     if (!fresh.changes.empty()) {
       this->sink(fresh);
     }
@@ -143,7 +152,7 @@
     this->reading = aReading;
     LogEvent(LogLevel::kInfo,
              aReading ? "source_reading_begins" : "source_reading_ends",
-             { { "revision", this->log.Revision() } });
+             { { "revision", PositionText(this->log.Revision()) } });
     if (aReading) {
       this->reader.Begin(this->log.Revision());
     } else {
--- a/src/changefeed/tests/changefeed_tests.cpp
+++ b/src/changefeed/tests/changefeed_tests.cpp
@@ -256,6 +256,57 @@
   REQUIRE(log.Since(0).changes.empty());
 }
 
+// Guards against nodes that ignore what is written after the source returned from an earlier copy, because
+// its revisions are lower than the known ones.
+TEST_CASE("Changes of a later era replace those of higher revisions", "[changelog][era]")
+{
+  ChangeLog log;
+  log.Apply({ 0, 499, true, false, { Value("a", 480), Value("b", 490), Value("kept", 10) } });
+  const ChangeBatch copy{ 0,
+                          MakePosition(1, 402),
+                          true,
+                          false,
+                          { Value("a", MakePosition(1, 400)), Value("kept", MakePosition(1, 10)) } };
+  const ChangeBatch fresh = log.Apply(copy);
+  REQUIRE(log.Revision() == MakePosition(1, 402));
+  const auto removal = std::find_if(
+    fresh.changes.begin(), fresh.changes.end(), [](const Change& aChange) { return aChange.removed; });
+  REQUIRE(removal != fresh.changes.end());
+  REQUIRE(removal->key == "b");
+  REQUIRE(removal->mayReturn);
+  const std::uint64_t next = MakePosition(1, 403);
+  REQUIRE(log.Apply({ MakePosition(1, 402), next, false, false, { Value("b", next) } }).changes.size() == 1);
+  REQUIRE(log.Since(0).changes.size() == 3);
+}
+
+// Guards against answers of the era before that arrive late, and against parts of two eras that are joined.
+TEST_CASE("Changes of an earlier era, or that follow one, are ignored", "[changelog][era]")
+{
+  ChangeLog log;
+  log.Apply({ 0, 499, true, false, { Value("a", 480) } });
+  REQUIRE(log.Apply({ 499, MakePosition(1, 500), false, false, { Value("a", MakePosition(1, 500)) } })
+            .changes.empty());
+  REQUIRE(log.Revision() == 499);
+  log.Apply({ 0, MakePosition(1, 402), true, false, { Value("a", MakePosition(1, 400)) } });
+  REQUIRE(log.Apply({ 499, 510, false, false, { Value("a", 510) } }).changes.empty());
+  REQUIRE(log.Apply({ 0, 600, true, false, { Value("a", 600) } }).changes.empty());
+  REQUIRE(log.Revision() == MakePosition(1, 402));
+}
+
+// Guards against peers of the era before that miss what the copy lacks.
+TEST_CASE("A peer of an earlier era gets the complete state", "[changelog][era]")
+{
+  ChangeLog log;
+  log.Apply({ 0, 499, true, false, { Value("a", 480) } });
+  ChangeLog behind;
+  behind.Apply({ 0, 499, true, false, { Value("a", 480), Value("lost", 499) } });
+  log.Apply({ 0, MakePosition(1, 402), true, false, { Value("a", MakePosition(1, 400)) } });
+  REQUIRE(log.Since(499).complete);
+  const ChangeBatch fresh = behind.Apply(log.Since(behind.Revision()));
+  REQUIRE(behind.Since(0).changes.size() == 1);
+  REQUIRE(fresh.changes.back().mayReturn);
+}
+
 // Guards against configurations in quick succession that fill the memory of all nodes: each superseded
 // version was kept with its whole value.
 TEST_CASE("Superseded values are not kept", "[changelog][memory]")
--- a/src/framework/global/global.h
+++ b/src/framework/global/global.h
@@ -14,6 +14,7 @@
 #include "framework/global/itimers.h"
 #include "framework/global/latencycounts.h"
 #include "framework/global/log.h"
+#include "framework/global/position.h"
 #include "framework/global/random.h"
 #include "framework/global/rcucell.h"
 #include "framework/global/settingsfile.h"
--- a/src/gateway/internal/leafdirectory.cpp
+++ b/src/gateway/internal/leafdirectory.cpp
@@ -11,6 +11,9 @@
 // A write of an entry may be done seconds after the leaf's last one, and the entry then stands for up to
 // three heartbeat intervals.
 constexpr Duration kRetention = std::chrono::seconds(60);
+// Time in which the registration of a leaf that is gone lapses: three heartbeat intervals of 1.2 s, and a
+// margin for the way to this node.
+constexpr Duration kCopyLapseTime = std::chrono::seconds(5);
 // Ten times the leafs of a large deployment.
 constexpr std::size_t kMaxRetired = 4096;
 
@@ -75,9 +78,31 @@
   return effect;
 }
 
+void
+LeafIncarnation::Apply(const LeafRegistration& aRegistration, TimePoint aNow)
+{
+  if (this->removed) {
+    const bool fromCopy = EraOf(aRegistration.revision) > EraOf(this->lastRevision) &&
+                          aRegistration.sequence <= this->lastSequence;
+    this->removed = false;
+    this->heldUntil = fromCopy ? std::make_optional(aNow + kCopyLapseTime) : std::nullopt;
+  } else if (aRegistration.sequence > this->lastSequence) {
+    this->heldUntil.reset();
+  }
+  if (aRegistration.draining) {
+    this->drainingSequence = std::max(this->drainingSequence, aRegistration.sequence);
+  }
+  this->lastSequence =
+    this->Held(aNow) ? std::max(this->lastSequence, aRegistration.sequence) : aRegistration.sequence;
+  this->lastRevision = aRegistration.revision;
+}
+
 bool
 LeafHandle::TurnsAway(TimePoint aNow) const
 {
+  if (this->incarnation->Held(aNow)) {
+    return true;
+  }
   const std::optional<TimePoint>& pausedUntil = this->incarnation->pausedUntil;
   if (!pausedUntil || aNow >= *pausedUntil + kReturnTime) {
     return false;
@@ -93,7 +118,10 @@
 TimePoint
 LeafHandle::ReturnsAt(TimePoint aNow) const
 {
-  return this->Paused(aNow) ? *this->incarnation->pausedUntil : aNow + kReturnTime / kReturnSteps;
+  if (!this->Paused(aNow)) {
+    return aNow + kReturnTime / kReturnSteps;
+  }
+  return std::max(this->incarnation->pausedUntil.value_or(aNow), this->incarnation->heldUntil.value_or(aNow));
 }
 
 bool
@@ -149,11 +177,7 @@
 LeafDirectory::SetRegistration(LeafHandle& aLeaf, const LeafRegistration& aRegistration)
 {
   aLeaf.registration = aRegistration;
-  LeafIncarnation& incarnation = *aLeaf.incarnation;
-  incarnation.lastSequence = aRegistration.sequence;
-  if (aRegistration.draining) {
-    incarnation.drainingSequence = std::max(incarnation.drainingSequence, aRegistration.sequence);
-  }
+  aLeaf.incarnation->Apply(aRegistration, this->clock.Now());
 }
 
 Ref<LeafIncarnation>
@@ -176,6 +200,7 @@
 void
 LeafDirectory::Retire(LeafIncarnation& aIncarnation)
 {
+  aIncarnation.removed = true;
   aIncarnation.forgetAt = this->clock.Now() + kRetention;
   this->retired.push_back(aIncarnation);
   ++this->retiredCount;
@@ -249,7 +274,7 @@
              { { "leaf", leaf->registration.id },
                { "service", leaf->registration.service },
                { "address", ToString(leaf->registration.endpoint) },
-               { "revision", leaf->registration.revision },
+               { "revision", PositionText(leaf->registration.revision) },
                { "holder", holder == nullptr ? "" : holder->registration.id } });
   }
 }
--- a/src/gateway/leafdirectory.h
+++ b/src/gateway/leafdirectory.h
@@ -130,15 +130,26 @@
   std::optional<TimePoint> pausedUntil; ///< end of the last pause that the leaf asked for
   std::uint64_t drainingSequence = 0;   ///< sequence of its last registration as draining
   std::uint64_t lastSequence = 0;       ///< sequence of its last registration
+  std::uint64_t lastRevision = 0;       ///< position of its last registration
+  bool removed = false;                 ///< its registration was removed, and the leaf has written none since
+  std::optional<TimePoint>
+    heldUntil; ///< end of the time in which a removed registration from a copy may lapse
 
-  /// \return whether a registration with the same key is of a later start. A leaf that does not give its
-  /// start
-  ///   time shows a start by a sequence that begins anew.
+  /// Without a start time, a sequence that begins anew shows a start, unless the source returned from a copy.
+  /// \return whether a registration with the same key is of a later start
   bool EndedBefore(const LeafRegistration& aRegistration) const
   {
-    return aRegistration.startTimeMs == 0 && aRegistration.sequence < this->lastSequence;
+    return aRegistration.startTimeMs == 0 && aRegistration.sequence < this->lastSequence &&
+           EraOf(aRegistration.revision) == EraOf(this->lastRevision);
   }
 
+  /// \return whether a copy of the source brought a removed registration back and the leaf has not written
+  /// since
+  bool Held(TimePoint aNow) const { return this->heldUntil && aNow < *this->heldUntil; }
+
+  /// Records a registration, which may be older than the known one.
+  void Apply(const LeafRegistration& aRegistration, TimePoint aNow);
+
   std::string key;    ///< of the directory, which identifies the start
   TimePoint forgetAt; ///< while the leaf is not registered
 };
@@ -159,10 +170,11 @@
   /// that began it. \param aRequest id of the request that was answered, for the log
   LeafNoticeEffect Apply(const LeafNotice& aNotice, const std::string& aRequest, TimePoint aNow);
 
-  /// \return whether the leaf gets no requests because it asked for a pause
+  /// \return whether the leaf gets no requests because it asked for a pause, or is held
   bool Paused(TimePoint aNow) const
   {
-    return this->incarnation->pausedUntil && aNow < *this->incarnation->pausedUntil;
+    const std::optional<TimePoint>& pausedUntil = this->incarnation->pausedUntil;
+    return (pausedUntil && aNow < *pausedUntil) || this->incarnation->Held(aNow);
   }
 
   /// \return whether the leaf announced in an answer that it leaves
@@ -225,7 +237,7 @@
 private:
   using Incarnations = boost::intrusive::list<LeafIncarnation, boost::intrusive::constant_time_size<false>>;
 
-  static void SetRegistration(LeafHandle& aLeaf, const LeafRegistration& aRegistration);
+  void SetRegistration(LeafHandle& aLeaf, const LeafRegistration& aRegistration);
 
   /// \return the incarnation that a registration belongs to, which is kept until the registration is removed
   Ref<LeafIncarnation> FindIncarnation(const LeafRegistration& aRegistration);
--- a/src/gateway/tests/gateway_tests.cpp
+++ b/src/gateway/tests/gateway_tests.cpp
@@ -410,6 +410,66 @@
   REQUIRE(fixture.Leaf(entry.id)->AcceptsRequests());
 }
 
+// Guards against requests to a leaf that is gone: the source returns from a copy that still has its entry.
+TEST_CASE("A removed entry that an earlier copy brings back gets no requests until the leaf writes",
+          "[drain][era]")
+{
+  GatewayFixture fixture;
+  LeafRegistration entry = fixture.leafs.Leafs("plain")[0]->registration;
+  entry.startTimeMs = 7;
+  entry.sequence = 5;
+  entry.revision = 100;
+  fixture.leafs.Apply(entry);
+  fixture.leafs.Remove(entry.id);
+  entry.sequence = 4;
+  entry.revision = MakePosition(1, 90);
+  fixture.leafs.Apply(entry);
+  const auto turnsAway = [&] { return fixture.Leaf(entry.id)->TurnsAway(fixture.clock.Now()); };
+  REQUIRE(turnsAway());
+  entry.revision = MakePosition(1, 91);
+  fixture.leafs.Apply(entry);
+  REQUIRE(turnsAway());
+  SECTION("a later sequence")
+  {
+    entry.sequence = 6;
+    fixture.leafs.Apply(entry);
+    REQUIRE_FALSE(turnsAway());
+  }
+  SECTION("a later start")
+  {
+    entry.sequence = 1;
+    entry.startTimeMs = 8;
+    fixture.leafs.Apply(entry);
+    REQUIRE_FALSE(turnsAway());
+  }
+  SECTION("an entry that does not lapse")
+  {
+    fixture.timers.RunFor(seconds(6));
+    REQUIRE_FALSE(turnsAway());
+  }
+}
+
+// Guards against leafs that are taken out of use by a return from a copy although they were never gone, and
+// against a drained leaf that is used again.
+TEST_CASE("A copy changes nothing for a leaf that serves or drains", "[drain][era]")
+{
+  const std::uint64_t startTimeMs = GENERATE(0, 7);
+  GatewayFixture fixture;
+  LeafRegistration entry = fixture.leafs.Leafs("plain")[0]->registration;
+  entry.startTimeMs = startTimeMs;
+  entry.sequence = 5;
+  entry.revision = 100;
+  entry.draining = GENERATE(true, false);
+  fixture.leafs.Apply(entry);
+  const bool draining = entry.draining;
+  entry.draining = false;
+  entry.sequence = 4;
+  entry.revision = MakePosition(1, 90);
+  fixture.leafs.Apply(entry);
+  REQUIRE(fixture.Leaf(entry.id)->AcceptsRequests() == !draining);
+  REQUIRE_FALSE(fixture.Leaf(entry.id)->TurnsAway(fixture.clock.Now()));
+}
+
 // Guards against more than two requests to a leaf during its pause: its entry lapses and is written again
 // while it pauses.
 TEST_CASE("A leaf's pause outlives the removal of its entry", "[pause]")
