--- a/src/gateway/leafdirectory.h
+++ b/src/gateway/leafdirectory.h
@@ -226,6 +226,8 @@
   /// \return all leafs of a service, including those that accept no requests; empty for an unknown service
   const std::vector<Ref<LeafHandle>>& Leafs(const std::string& aService) const;
 
+  bool IsRegistered(const std::string& aId) const { return this->byId.count(aId) != 0; }
+
   std::size_t Count() const { return this->byId.size(); }
 
   /// \return registered leafs whose address a later registration holds
