Take an entry only if it is whole and fits the leaf that is known

Cause: only the fields in use were demanded, and a known leaf took over service and address from any entry under its id.

One that names another service or address for the start that is registered, or gives no start time for a leaf that gives it, is treated like an entry that cannot be read.

--- a/src/gateway/internal/leafdirectory.cpp
+++ b/src/gateway/internal/leafdirectory.cpp
@@ -159,6 +159,18 @@
   return true;
 }
 
+bool
+LeafDirectory::Conflicts(const LeafRegistration& aRegistration) const
+{
+  const auto found = this->byId.find(aRegistration.id);
+  if (found == this->byId.end() || found->second->registration.startTimeMs == 0) {
+    return false;
+  }
+  const LeafRegistration& known = found->second->registration;
+  const bool samePlace = known.service == aRegistration.service && known.endpoint == aRegistration.endpoint;
+  return aRegistration.startTimeMs == 0 || (known.startTimeMs == aRegistration.startTimeMs && !samePlace);
+}
+
 bool
 LeafDirectory::Remove(const std::string& aId)
 {
--- a/src/gateway/leafdirectory.h
+++ b/src/gateway/leafdirectory.h
@@ -215,6 +215,11 @@
   /// \return whether anything changed
   bool Apply(const LeafRegistration& aRegistration);
 
+  /// \return whether a registration cannot be of the leaf that is registered under its id: one start of a
+  /// leaf has
+  ///   one service and one address, and a leaf that gives its start time always gives it
+  bool Conflicts(const LeafRegistration& aRegistration) const;
+
   /// Removes a leaf; its requests in flight continue.
   /// \return whether the leaf was registered
   bool Remove(const std::string& aId);
