--- a/src/changefeed/changelog.h
+++ b/src/changefeed/changelog.h
@@ -37,9 +37,9 @@
 {
 public:
   /// Applies a batch. A batch that follows a later position than the known one, or ends before it, is
-  /// ignored, and so are changes that follow a position of another era. Values that the complete state of a
-  /// new era lacks may be published again, as the source may have lost them. \return the changes that were
-  /// new, removals included; no changes if there were none
+  /// ignored, and so are changes that follow a position of another era.
+  /// Values that the complete state of a new era lacks may be published again.
+  /// \return the changes that were new, removals included; no changes if there were none
   ChangeBatch Apply(const ChangeBatch& aBatch);
 
   /// \return the latest change of each key that changed after a revision, by revision; the complete state
--- a/src/gateway/leafdirectory.h
+++ b/src/gateway/leafdirectory.h
@@ -132,8 +132,7 @@
   std::uint64_t lastSequence = 0;       ///< sequence of its last registration
   std::uint64_t lastRevision = 0;       ///< position of its last registration
   bool removed = false;                 ///< its registration was removed, and the leaf has written none since
-  std::optional<TimePoint>
-    heldUntil; ///< end of the time in which a removed registration from a copy may lapse
+  std::optional<TimePoint> heldUntil;   ///< until then a removed registration from a copy may lapse
 
   /// Without a start time, a sequence that begins anew shows a start, unless the source returned from a copy.
   /// \return whether a registration with the same key is of a later start
@@ -143,8 +142,7 @@
            EraOf(aRegistration.revision) == EraOf(this->lastRevision);
   }
 
-  /// \return whether a copy of the source brought a removed registration back and the leaf has not written
-  /// since
+  /// \return whether a copy of the source brought a removed registration back, which the leaf may not know
   bool Held(TimePoint aNow) const { return this->heldUntil && aNow < *this->heldUntil; }
 
   /// Records a registration, which may be older than the known one.
@@ -186,9 +184,8 @@
     return this->registration.draining || this->registration.sequence < this->incarnation->drainingSequence;
   }
 
+  /// After a pause the number of calls grows gradually to the leaf's slots.
   /// \return whether the leaf gets no further request now: it pauses, or has enough calls for the time since
-  /// its
-  ///   pause; after a pause the number of calls grows gradually to its slots
   bool TurnsAway(TimePoint aNow) const;
 
   /// \return when a leaf that turns requests away is expected to take one
