Apply changed limits to idle connections

Cause: the limits of the next request were set when the last one ended.

Change: SetLimits sets up the next request of each idle connection anew.

Evidence: "changed limits hold for the next request of an idle connection" fails before for a fresh and for a used connection, and passes now.

--- a/src/framework/network/ihttpserver.h
+++ b/src/framework/network/ihttpserver.h
@@ -57,7 +57,8 @@
   /// Answers requests that have not arrived completely with 408 and closes their connections.
   virtual void RejectIncomplete() = 0;
 
-  /// Changes the limits of requests that begin from now on; the other settings are ignored.
+  /// Changes the limits of requests that begin from now on, also on open connections; other settings are
+  /// ignored.
   virtual void SetLimits(const HttpServerSettings& aSettings) = 0;
 
   virtual HttpServerCounters Counters() const = 0;
--- a/src/framework/network/internal/httpserver.cpp
+++ b/src/framework/network/internal/httpserver.cpp
@@ -91,6 +91,14 @@
 
   bool Idle() const { return this->stage == Stage::kIdle; }
 
+  /// Applies changed limits to the next request, if none of it has been received.
+  void UpdateLimits()
+  {
+    if (this->Idle()) {
+      this->ExpectRequest();
+    }
+  }
+
   void Close()
   {
     if (this->stage == Stage::kClosed) {
@@ -600,6 +608,9 @@
     own.maxBodyBytes = aSettings.maxBodyBytes;
     own.headerTimeout = aSettings.headerTimeout;
     own.idleTimeout = aSettings.idleTimeout;
+    for (const Ref<Connection>& connection : this->core->connections) {
+      connection->UpdateLimits();
+    }
   }
 
   HttpServerCounters Counters() const override
--- a/src/framework/network/tests/httpserver_tests.cpp
+++ b/src/framework/network/tests/httpserver_tests.cpp
@@ -128,6 +128,33 @@
   CHECK(fixture.Works());
 }
 
+// Guards against requests that a changed configuration allows and that get 413, 431 or a closed connection
+// because their connection was idle when the limits changed.
+TEST_CASE("changed limits hold for the next request of an idle connection")
+{
+  HttpServerSettings settings;
+  settings.maxBodyBytes = 1000;
+  settings.maxHeaderBytes = 2000;
+  settings.idleTimeout = 300ms;
+  Fixture fixture(settings);
+  RawClient fresh(fixture.endpoint);
+  RawClient used(fixture.endpoint);
+  used.Send("GET /a HTTP/1.1\r\n\r\n");
+  used.ReadUntil("[GET/a:0]");
+  settings.maxBodyBytes = 5000;
+  settings.maxHeaderBytes = 9000;
+  settings.idleTimeout = 5000ms;
+  fixture.served.Call([&] { fixture.server->SetLimits(settings); });
+  std::this_thread::sleep_for(400ms);
+  const std::string request = "POST /b HTTP/1.1\r\nA: " + std::string(3000, 'a') +
+                              "\r\nContent-Length: 4000\r\nConnection: close\r\n\r\n" +
+                              std::string(4000, 'b');
+  for (RawClient* client : { &fresh, &used }) {
+    client->Send(request);
+    CHECK(Has(client->ReadAll(), "[POST/b:4000]"));
+  }
+}
+
 // Guards against a response that cannot be written and ends the process: the library throws for a field of 64
 // KB.
 TEST_CASE("a response that cannot be written becomes a 500 and other connections go on")
