Do not read the start of one answer and the next one as one head

Cause: a copy that breaks off inside a field takes up the status line of the answer; the rest of its head follows. Status and X-Not-Executed are the copy's, the id is the request's.

Change: a head with the start of a status line in its reason or in a field is two heads; the call is lost and counts as run.

--- a/src/leafhttp/internal/leafconnection.cpp
+++ b/src/leafhttp/internal/leafconnection.cpp
@@ -1,4 +1,5 @@
 #include "leafhttp/internal/leafconnection.h"
+#include <algorithm>
 #include <boost/asio/write.hpp>
 #include <string_view>
 
@@ -37,6 +38,37 @@
   return aStatus >= kFirstStatus && aStatus <= kLastStatus && aStatus != kSwitchingProtocols;
 }
 
+/// \return whether a text contains the start of a status line, such as "HTTP/1.1 200"
+bool
+ContainsStatusLine(std::string_view aText)
+{
+  constexpr std::string_view kProtocol = "HTTP/";
+  constexpr std::string_view kPattern = "0.0 000"; // 0: any digit
+  const auto isDigit = [](char aCharacter) { return aCharacter >= '0' && aCharacter <= '9'; };
+  for (std::size_t at = aText.find(kProtocol); at != std::string_view::npos;
+       at = aText.find(kProtocol, at + 1)) {
+    const std::string_view rest = aText.substr(at + kProtocol.size(), kPattern.size());
+    if (std::equal(
+          rest.begin(), rest.end(), kPattern.begin(), kPattern.end(), [&](char aActual, char aExpected) {
+            return aExpected == '0' ? isDigit(aActual) : aActual == aExpected;
+          })) {
+      return true;
+    }
+  }
+  return false;
+}
+
+/// \return whether a head consists of the start of one response, which broke off, and the head of another
+template<class Message>
+bool
+IsJoined(const Message& aMessage)
+{
+  return ContainsStatusLine(aMessage.reason()) ||
+         std::any_of(aMessage.begin(), aMessage.end(), [](const auto& aField) {
+           return ContainsStatusLine(std::string_view(aField.value().data(), aField.value().size()));
+         });
+}
+
 } // namespace
 
 LeafConnection::LeafConnection(LeafHttpCore& aCore, ILeafConnectionOwner& aOwner, Endpoint aPeer)
@@ -296,6 +328,12 @@
 {
   const Ref<LeafConnection> self(this);
   auto message = this->parser->release();
+  // The head may say "not run" of one request and bear the id of another, which ran.
+  if (IsJoined(message)) {
+    ++this->core.stats.foreignResponses;
+    this->FinishLost("leaf.response", "start of another response inside a head");
+    return false;
+  }
   if (message.result_int() < kFirstFinalStatus) {
     return this->SkipResponse();
   }
