Give up answers of an impossible status from the store and from peers

The client of the store and of other nodes waited after a 101 for another answer, and after a 000 without a length for the end of the connection, both to its time limit; a 000 with a length was used like a refusal, with its Store-Era.

Change: the head is read first, and a status that HTTP does not define is an error. The check of the status is shared with the connections to leafs.

Evidence: "a response with a status that HTTP does not define is an error at once" fails before (at its first status, 000) and passes now; it covers 000, 001, 099, 101, 600 and 999, with a length and without.

--- a/src/framework/network/httptypes.h
+++ b/src/framework/network/httptypes.h
@@ -55,6 +55,10 @@
   bool close = false; ///< server side: close the connection after this response
 };
 
+/// \return whether HTTP defines responses of this status to a request that does not ask for another protocol
+bool
+IsResponseStatus(unsigned aStatus);
+
 /// \return a response with a JSON body
 HttpResponse
 JsonResponse(unsigned aStatus, const Json& aBody);
--- a/src/framework/network/internal/httpclient.cpp
+++ b/src/framework/network/internal/httpclient.cpp
@@ -213,6 +213,33 @@
   }
 
   void Read()
+  {
+    http::async_read_header(this->socket,
+                            this->buffer,
+                            *this->parser,
+                            [self = Ref<Exchange>(this)](const error_code& aError, std::size_t) {
+                              if (!self->finished) {
+                                self->OnHead(aError);
+                              }
+                            });
+  }
+
+  /// The status is checked before the body, which may extend to the end of the connection.
+  void OnHead(const error_code& aError)
+  {
+    if (aError) {
+      this->OnReadFailed(aError);
+      return;
+    }
+    const unsigned status = this->parser->get().result_int();
+    if (!IsResponseStatus(status)) {
+      this->Finish(this->MakeError(ErrorCode::kBadInput, kResponseStep, "status " + std::to_string(status)));
+      return;
+    }
+    this->ReadBody();
+  }
+
+  void ReadBody()
   {
     http::async_read(this->socket,
                      this->buffer,
--- a/src/framework/network/internal/httptypes.cpp
+++ b/src/framework/network/internal/httptypes.cpp
@@ -58,6 +58,15 @@
   return nullptr;
 }
 
+bool
+IsResponseStatus(unsigned aStatus)
+{
+  constexpr unsigned kFirst = 100;
+  constexpr unsigned kSwitchingProtocols = 101;
+  constexpr unsigned kLast = 599;
+  return aStatus >= kFirst && aStatus <= kLast && aStatus != kSwitchingProtocols;
+}
+
 HttpResponse
 JsonResponse(unsigned aStatus, const Json& aBody)
 {
--- a/src/framework/network/tests/httpclient_tests.cpp
+++ b/src/framework/network/tests/httpclient_tests.cpp
@@ -74,6 +74,28 @@
     return reply;
   }
 
+  /// Lets a server of plain bytes answer one request and keep the connection open until the client closes it.
+  IHttpClient::Reply AskOpen(const std::string& aAnswer)
+  {
+    boost::asio::io_context context;
+    boost::asio::ip::tcp::acceptor acceptor(context, { boost::asio::ip::make_address("127.0.0.1"), 0 });
+    const Endpoint endpoint{ "127.0.0.1", acceptor.local_endpoint().port() };
+    std::thread peer([&] {
+      boost::asio::ip::tcp::socket socket = acceptor.accept();
+      char bytes[4096];
+      socket.read_some(boost::asio::buffer(bytes));
+      boost::system::error_code error;
+      boost::asio::write(socket, boost::asio::buffer(aAnswer), error);
+      while (!error) {
+        socket.read_some(boost::asio::buffer(bytes), error);
+      }
+    });
+    const IHttpClient::Reply reply = this->Send(endpoint, HttpRequest{}, 1s);
+    this->served.Call([this] { this->client.reset(); });
+    peer.join();
+    return reply;
+  }
+
   ServedContext served;
   std::unique_ptr<IHttpClient> client = MakeHttpClient(this->served.context);
   std::unique_ptr<IHttpServer> server;
@@ -141,7 +163,30 @@
   CHECK(CodeOf(fixture.AskRaw("HTTP/1.1 200 OK\r\nA: " + std::string(50000, 'a'))) == ErrorCode::kBadInput);
 }
 
-// Guards against parameters that are cut, merged or decoded wrongly.
+// Guards against a store or peer whose answer has an impossible status: it was used like one of another
+// status, or waited for until the deadline.
+TEST_CASE("a response with a status that HTTP does not define is an error at once")
+{
+  for (const std::string status : { "000", "001", "099", "101", "600", "999" }) {
+    for (const std::string rest : { "Content-Length: 0\r\n\r\n", "\r\n" }) {
+      CAPTURE(status, rest);
+      Fixture fixture;
+      CHECK(CodeOf(fixture.AskOpen("HTTP/1.1 " + status + " x\r\nStore-Era: 9\r\n" + rest)) ==
+            ErrorCode::kBadInput);
+    }
+  }
+}
+
+// Guards against an interim response that is taken for the answer.
+TEST_CASE("an interim response precedes the answer")
+{
+  Fixture fixture;
+  const IHttpClient::Reply reply =
+    fixture.AskOpen("HTTP/1.1 103 x\r\nA: b\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc");
+  REQUIRE(std::holds_alternative<HttpResponse>(reply));
+  CHECK(std::get<HttpResponse>(reply).body == "abc");
+}
+
 // Guards against a peer or store that sends without end: its bytes were held until the deadline.
 TEST_CASE("a response without end is given up before its deadline")
 {
@@ -163,6 +208,7 @@
   }
 }
 
+// Guards against parameters that are cut, merged or decoded wrongly.
 TEST_CASE("a target splits into path and decoded parameters")
 {
   const HttpTarget target = ParseTarget("/v1/x?a=1%202&b&c=%41+").value();
--- a/src/leafhttp/internal/leafconnection.cpp
+++ b/src/leafhttp/internal/leafconnection.cpp
@@ -12,10 +12,7 @@
 using boost::system::error_code;
 using tcp = asio::ip::tcp;
 
-constexpr unsigned kFirstStatus = 100;
-constexpr unsigned kSwitchingProtocols = 101;
 constexpr unsigned kFirstFinalStatus = 200;
-constexpr unsigned kLastStatus = 599;
 constexpr std::size_t kTypicalHeadBytes = 512;
 
 void
@@ -31,13 +28,6 @@
   return aMethod == "POST" || aMethod == "PUT" || aMethod == "PATCH";
 }
 
-/// \return whether HTTP defines responses of this status to a request that does not ask for another protocol
-bool
-IsResponseStatus(unsigned aStatus)
-{
-  return aStatus >= kFirstStatus && aStatus <= kLastStatus && aStatus != kSwitchingProtocols;
-}
-
 /// \return whether a text contains the start of a status line, such as "HTTP/1.1 200"
 bool
 ContainsStatusLine(std::string_view aText)
