--- a/src/changefeed/internal/changerelay.cpp
+++ b/src/changefeed/internal/changerelay.cpp
@@ -138,7 +138,8 @@
     // A node that reads because of a missing confirmation continues for a while, so that late confirmations
     // do not start and stop its reader each time.
     this->fallbackUntil = stale ? now + kFallbackReadTime : this->fallbackUntil;
-    // A node that the source turned away is not chosen. It would stay so for good if it stopped trying.
+    // Peers leave out a node that cannot reach the source. Without further attempts it would never read
+    // again.
     const bool retries = this->reading && this->gossip.Own().sourceUnreachable;
     this->SetReading(chosen || retries || now < this->fallbackUntil);
     this->NotifyPeers();
